--- /dev/null
+++ b/src/hoisthook/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts within milliseconds."""
--- /dev/null
+++ b/src/hoisthook/adapter/__init__.py
@@ -0,0 +1,3 @@
+"""Adapters between the ports and the outside."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/adapter/http/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP/1.1 exchanges on the call path, parsed by httptools."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/adapter/http/asgi_bridge.py
@@ -0,0 +1,81 @@
+"""Runs an ASGI application on exchanges of a call server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from hoisthook.exceptions import BrokenExchangeError
+
+if TYPE_CHECKING:
+    from starlette.types import ASGIApp
+
+    from hoisthook.adapter.http.message import Header
+    from hoisthook.adapter.http.server_exchange import ServerExchange
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+TOO_LARGE_STATUS = 413
+
+
+async def serve_asgi(app: ASGIApp, exchange: ServerExchange) -> None:
+    """Serve one exchange by ``app``; the body is read whole and bounded first."""
+    body = b""
+    try:
+        while data := await exchange.body.read():
+            body += data
+            if len(body) > MAX_BODY_BYTES:
+                exchange.respond(TOO_LARGE_STATUS, [])
+                return
+    except BrokenExchangeError:
+        exchange.abort()
+        return
+    answer = _Answer(exchange)
+    sent = False
+
+    async def receive() -> dict[str, Any]:
+        nonlocal sent
+        if sent:
+            return {"type": "http.disconnect"}
+        sent = True
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    await app(_scope(exchange), receive, answer.send)  # type: ignore[arg-type]
+
+
+def _scope(exchange: ServerExchange) -> dict[str, Any]:
+    path, _, query = exchange.head.target.partition(b"?")
+    return {
+        "type": "http",
+        "asgi": {"version": "3.0", "spec_version": "2.3"},
+        "http_version": "1.1",
+        "method": exchange.head.method.decode("latin-1"),
+        "scheme": "http",
+        "path": path.decode("latin-1"),
+        "raw_path": path,
+        "query_string": query,
+        "root_path": "",
+        "headers": exchange.head.headers,
+        "client": exchange.peer,
+        "server": None,
+    }
+
+
+class _Answer:
+    """Collects an application's answer and sends it whole."""
+
+    def __init__(self, exchange: ServerExchange) -> None:
+        self._exchange = exchange
+        self._status = 500
+        self._headers: list[Header] = []
+        self._body = b""
+
+    async def send(self, message: dict[str, Any]) -> None:
+        """Take one ASGI message."""
+        if message["type"] == "http.response.start":
+            self._status = message["status"]
+            headers = message.get("headers", [])
+            self._headers = [(n, v) for n, v in headers if n.lower() != b"content-length"]
+            return
+        self._body += message.get("body", b"")
+        if not message.get("more_body", False):
+            self._exchange.respond(self._status, self._headers, self._body)
--- /dev/null
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -0,0 +1,183 @@
+"""One client connection: one exchange at a time, closed on any doubt."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import httptools
+
+from hoisthook.adapter.http.body_stream import BodyStream
+from hoisthook.adapter.http.message import AnswerHead
+from hoisthook.adapter.http.message import Header
+from hoisthook.exceptions import BrokenExchangeError
+
+MAX_HEAD_BYTES = 64 * 1024
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection to a node or a backend server.
+
+    The connection is reusable only after an answer that was whole, framed by
+    its own length, kept alive, and followed by no surplus byte.
+    """
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._head_waiter: asyncio.Future[AnswerHead] | None = None
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._write_paused = False
+        self._headers: list[Header] = []
+        self._head_bytes = 0
+        self._bodyless = False
+        self._interim = False
+        self._whole = False
+        self.body = BodyStream(self)
+        self.closed = False
+        self.idle_since = 0.0
+        self.exchanges = 0
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether another exchange may use the connection."""
+        return self._whole and not self.closed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast("asyncio.Transport", transport)
+
+    def send(self, data: bytes, *, bodyless_answer: bool = False) -> asyncio.Future[AnswerHead]:
+        """Start an exchange with the first bytes of a request.
+
+        Parameters
+        ----------
+        data : bytes
+            The head and what is there of the body.
+        bodyless_answer : bool
+            Whether the answer has no body whatever its headers say (HEAD).
+
+        Returns
+        -------
+        asyncio.Future of AnswerHead
+            Fails with `BrokenExchangeError` when the connection drops first.
+        """
+        assert self._transport is not None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = []
+        self._head_bytes = 0
+        self._bodyless = bodyless_answer
+        self._whole = False
+        self.exchanges += 1
+        self.body = BodyStream(self)
+        self._head_waiter = asyncio.get_running_loop().create_future()
+        if self.closed:
+            self._fail("connection closed before the request")
+        else:
+            self._transport.write(data)
+        return self._head_waiter
+
+    def write(self, data: bytes) -> None:
+        """Send more of the request's body."""
+        if self._transport is not None and not self.closed:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the transport takes more."""
+        if self._write_paused and not self.closed:
+            self._write_waiter = asyncio.get_running_loop().create_future()
+            await self._write_waiter
+
+    def close(self) -> None:
+        """Drop the connection; an unfinished exchange is cancelled by it."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._lose("connection dropped here")
+
+    def pause_body(self) -> None:
+        """Stop reading while the body's reader is behind."""
+        if self._transport is not None and not self.closed:
+            self._transport.pause_reading()
+
+    def resume_body(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self.closed:
+            self._transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        """Note that the transport is full."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Note that the transport takes more."""
+        self._write_paused = False
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse answer bytes; bytes outside an exchange close the connection."""
+        if self._parser is None or self._whole:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End what was waiting."""
+        self._lose("connection dropped by the other side")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header (parser callback)."""
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise BrokenExchangeError("answer head too large")
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Hand over the head (parser callback)."""
+        assert self._parser is not None
+        status = self._parser.get_status_code()
+        self._interim = 100 <= status < 200
+        if self._interim:
+            self._headers = []
+            return
+        waiter = self._head_waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(AnswerHead(status, self._headers))
+        if self._bodyless:
+            self._end_exchange(keep=False)
+
+    def on_body(self, data: bytes) -> None:
+        """Hand over a piece of the body (parser callback)."""
+        if not self._whole:
+            self.body.feed(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer (parser callback)."""
+        if self._interim or self._whole:
+            return
+        assert self._parser is not None
+        self._end_exchange(keep=self._parser.should_keep_alive())
+
+    def _end_exchange(self, *, keep: bool) -> None:
+        self._whole = True
+        if not keep:
+            self.closed = True
+            if self._transport is not None:
+                self._transport.close()
+        self.body.finish()
+
+    def _lose(self, reason: str) -> None:
+        self.closed = True
+        self._fail(reason)
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def _fail(self, reason: str) -> None:
+        waiter = self._head_waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(BrokenExchangeError(reason))
+            waiter.exception()
+        self.body.fail(reason)
--- /dev/null
+++ b/src/hoisthook/adapter/http/message.py
@@ -0,0 +1,90 @@
+"""Heads of HTTP messages and the headers that hoisthook reads and writes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+Header = tuple[bytes, bytes]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    }
+)
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """Method, target and headers of a request; header names are lower case."""
+
+    method: bytes
+    target: bytes
+    headers: list[Header]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of ``name``, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+@dataclass(slots=True)
+class AnswerHead:
+    """Status and headers of an answer; header names are lower case."""
+
+    status: int
+    headers: list[Header]
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first value of ``name``, or None."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+def end_to_end(headers: list[Header]) -> list[Header]:
+    """Return the headers without those that belong to one connection only."""
+    dropped = HOP_BY_HOP
+    for name, value in headers:
+        if name == b"connection":
+            named = {token.strip().lower() for token in value.split(b",")}
+            dropped = dropped | named
+    return [header for header in headers if header[0] not in dropped]
+
+
+def encode_request_head(method: bytes, target: bytes, headers: list[Header]) -> bytes:
+    """Return the bytes of a request head."""
+    lines = [method + b" " + target + b" HTTP/1.1"]
+    lines.extend(name + b": " + value for name, value in headers)
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+def encode_answer_head(status: int, headers: list[Header]) -> bytes:
+    """Return the bytes of an answer head."""
+    reason = _REASONS.get(status, b"Status")
+    lines = [b"HTTP/1.1 %d %b" % (status, reason)]
+    lines.extend(name + b": " + value for name, value in headers)
+    lines.append(b"\r\n")
+    return b"\r\n".join(lines)
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return ``data`` as one chunk of a chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -0,0 +1,263 @@
+"""One server connection: requests in order, one handler at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Protocol
+from typing import cast
+
+import httptools
+
+from hoisthook.adapter.http.body_stream import BodyStream
+from hoisthook.adapter.http.message import Header
+from hoisthook.adapter.http.message import RequestHead
+from hoisthook.adapter.http.server_exchange import ServerExchange
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    Handler = Callable[[ServerExchange], Awaitable[None]]
+
+MAX_HEAD_BYTES = 32 * 1024
+MAX_PIPELINED = 8
+
+
+class ServerOwner(Protocol):
+    """What a connection needs of its server."""
+
+    handler: Handler
+    stopping: bool
+    head_timeout: float
+
+    def opened(self, connection: ServerConnection) -> None:
+        """Count the connection in."""
+
+    def closed(self, connection: ServerConnection) -> None:
+        """Count the connection out."""
+
+    def bad_request(self, code: ResultCode) -> bytes:
+        """Return the whole answer to a request that cannot be parsed."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """Parses requests and runs the owner's handler for each, in order."""
+
+    def __init__(self, owner: ServerOwner) -> None:
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._loop = asyncio.get_running_loop()
+        self._queue: deque[ServerExchange] = deque()
+        self._incoming: ServerExchange | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._target = b""
+        self._headers: list[Header] = []
+        self._head_bytes = 0
+        self._expects_continue = False
+        self._write_paused = False
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._refused: ResultCode | None = None
+        self.peer: tuple[str, int] = ("", 0)
+        self.lost = False
+
+    @property
+    def busy(self) -> bool:
+        """Return whether a request is being served or read."""
+        return bool(self._queue) or self._incoming is not None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport and wait for the first head."""
+        self._transport = cast("asyncio.Transport", transport)
+        self.peer = transport.get_extra_info("peername") or ("", 0)
+        self._owner.opened(self)
+        self._arm_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse request bytes."""
+        if self._refused is not None:
+            return
+        if self._timer is None and self._incoming is None and not self._queue:
+            self._arm_timer()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(ResultCode.REQUEST_MALFORMED)
+        except httptools.HttpParserError:
+            self._refuse(self._refused or ResultCode.REQUEST_MALFORMED)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the running handler that its caller is gone."""
+        self.lost = True
+        self._disarm_timer()
+        if self._incoming is not None:
+            self._incoming.body.fail("caller's connection dropped")
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+        if self._queue:
+            self._queue[0].disconnected()
+        self._owner.closed(self)
+
+    def pause_writing(self) -> None:
+        """Note that the transport is full."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Note that the transport takes more."""
+        self._write_paused = False
+        if self._write_waiter is not None and not self._write_waiter.done():
+            self._write_waiter.set_result(None)
+
+    def pause_body(self) -> None:
+        """Stop reading while the handler is behind."""
+        if self._transport is not None and not self.lost:
+            self._transport.pause_reading()
+
+    def resume_body(self) -> None:
+        """Read again."""
+        if self._transport is not None and not self.lost:
+            self._transport.resume_reading()
+
+    def on_message_begin(self) -> None:
+        """Start collecting a head (parser callback)."""
+        self._target = b""
+        self._headers = []
+        self._head_bytes = 0
+        self._expects_continue = False
+
+    def on_url(self, url: bytes) -> None:
+        """Collect a piece of the target (parser callback)."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header (parser callback)."""
+        self._count_head(len(name) + len(value))
+        name = name.lower()
+        if name == b"expect" and value.lower() == b"100-continue":
+            self._expects_continue = True
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Queue the exchange (parser callback)."""
+        self._disarm_timer()
+        head = RequestHead(self._parser.get_method(), self._target, self._headers)
+        exchange = ServerExchange(self, head, BodyStream(self), self._parser.should_keep_alive())
+        if self._expects_continue and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._incoming = exchange
+        self._queue.append(exchange)
+        if len(self._queue) == 1:
+            self._loop.call_soon(self._start_next)
+        elif len(self._queue) > MAX_PIPELINED:
+            self.pause_body()
+
+    def on_body(self, data: bytes) -> None:
+        """Hand over a piece of the body (parser callback)."""
+        if self._incoming is not None:
+            self._incoming.body.feed(data)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the request (parser callback)."""
+        if self._incoming is not None:
+            self._incoming.body.finish()
+            self._incoming = None
+
+    def write(self, data: bytes) -> None:
+        """Send answer bytes."""
+        if self._transport is not None and not self.lost:
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the transport takes more."""
+        if self._write_paused and not self.lost:
+            self._write_waiter = self._loop.create_future()
+            await self._write_waiter
+
+    def leave(self) -> None:
+        """Close now if idle; otherwise after the exchange in progress."""
+        if not self.busy and self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection, so that the caller sees a broken answer."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether the server takes no further requests."""
+        return self._owner.stopping
+
+    def exchange_ended(self, exchange: ServerExchange, *, keep: bool) -> None:
+        """Go on to the next request, or close."""
+        if self._queue and self._queue[0] is exchange:
+            self._queue.popleft()
+        body_open = not exchange.body.complete
+        if not keep or body_open or self._owner.stopping:
+            if self._transport is not None:
+                self._transport.close()
+            return
+        if len(self._queue) == MAX_PIPELINED:
+            self.resume_body()
+        if self._queue:
+            self._start_next()
+        elif self._refused is not None:
+            self._answer_refusal(self._refused)
+
+    def _start_next(self) -> None:
+        if self._queue and not self.lost:
+            self._task = self._loop.create_task(self._serve(self._queue[0]))
+
+    async def _serve(self, exchange: ServerExchange) -> None:
+        exchange.task = self._task
+        try:
+            await self._owner.handler(exchange)
+        except asyncio.CancelledError:
+            exchange.abort()
+        except Exception:
+            exchange.abort()
+            raise
+        finally:
+            if not exchange.ended:
+                exchange.abort()
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._refused = ResultCode.REQUEST_TOO_LARGE
+            raise ValueError("request head too large")
+
+    def _refuse(self, code: ResultCode) -> None:
+        self._refused = code
+        self._disarm_timer()
+        if self._incoming is not None:
+            self._incoming.body.fail("request body malformed")
+            self._incoming = None
+            return
+        if not self._queue:
+            self._answer_refusal(code)
+
+    def _answer_refusal(self, code: ResultCode) -> None:
+        self.write(self._owner.bad_request(code))
+        if self._transport is not None:
+            self._transport.close()
+
+    def _arm_timer(self) -> None:
+        self._timer = self._loop.call_later(self._owner.head_timeout, self._head_late)
+
+    def _disarm_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _head_late(self) -> None:
+        self._timer = None
+        if self._head_bytes and not self.busy:
+            self._refuse(ResultCode.REQUEST_TIMEOUT)
+        elif not self.busy and self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -0,0 +1,118 @@
+"""One request and its answer on a server connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hoisthook.adapter.http.message import LAST_CHUNK
+from hoisthook.adapter.http.message import Header
+from hoisthook.adapter.http.message import encode_answer_head
+from hoisthook.adapter.http.message import encode_chunk
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from hoisthook.adapter.http.body_stream import BodyStream
+    from hoisthook.adapter.http.message import RequestHead
+    from hoisthook.adapter.http.server_connection import ServerConnection
+
+
+class ServerExchange:
+    """What a handler reads a request from and writes its answer to.
+
+    Attributes
+    ----------
+    head : RequestHead
+        Method, target and headers.
+    body : BodyStream
+        The request's body.
+    cancel_on_disconnect : bool
+        Whether the handler is cancelled when the caller goes away.
+    """
+
+    __slots__ = (
+        "_chunked",
+        "_connection",
+        "_keep_alive",
+        "body",
+        "cancel_on_disconnect",
+        "ended",
+        "head",
+        "started",
+        "task",
+    )
+
+    def __init__(
+        self, connection: ServerConnection, head: RequestHead, body: BodyStream, keep_alive: bool
+    ) -> None:
+        self._connection = connection
+        self._keep_alive = keep_alive
+        self._chunked = False
+        self.head = head
+        self.body = body
+        self.cancel_on_disconnect = True
+        self.started = False
+        self.ended = False
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def peer(self) -> tuple[str, int]:
+        """Return the other side's address."""
+        return self._connection.peer
+
+    @property
+    def gone(self) -> bool:
+        """Return whether the other side has dropped the connection."""
+        return self._connection.lost
+
+    def begin(self, status: int, headers: list[Header], *, chunked: bool) -> bytes:
+        """Start the answer; return its head for the first `write`."""
+        self.started = True
+        self._chunked = chunked
+        if chunked:
+            headers.append((b"transfer-encoding", b"chunked"))
+        if self._connection.stopping or not self._keep_alive:
+            self._keep_alive = False
+            headers.append((b"connection", b"close"))
+        return encode_answer_head(status, headers)
+
+    def respond(self, status: int, headers: list[Header], body: bytes = b"") -> None:
+        """Send a whole answer at once; ``content-length`` is added here."""
+        headers.append((b"content-length", b"%d" % len(body)))
+        head = self.begin(status, headers, chunked=False)
+        if self.head.method == b"HEAD":
+            body = b""
+        self._connection.write(head + body)
+        self.end()
+
+    def write(self, data: bytes, *, head: bytes = b"") -> None:
+        """Send a piece of the body, preceded by the answer's head if given."""
+        if self._chunked and data:
+            data = encode_chunk(data)
+        self._connection.write(head + data)
+
+    async def drain(self) -> None:
+        """Wait until the connection takes more."""
+        await self._connection.drain()
+
+    def end(self) -> None:
+        """Finish the answer as whole."""
+        if self.ended:
+            return
+        if self._chunked:
+            self._connection.write(LAST_CHUNK)
+        self.ended = True
+        self._connection.exchange_ended(self, keep=self._keep_alive)
+
+    def abort(self) -> None:
+        """Drop the connection, so that the answer is seen as broken."""
+        if self.ended:
+            return
+        self.ended = True
+        self._connection.abort()
+        self._connection.exchange_ended(self, keep=False)
+
+    def disconnected(self) -> None:
+        """Cancel the handler, unless it asked to go on."""
+        if self.cancel_on_disconnect and self.task is not None and not self.ended:
+            self.task.cancel()
--- /dev/null
+++ b/src/hoisthook/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Admission beside the backend server's slots."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/admission/service_time.py
@@ -0,0 +1,35 @@
+"""What a request usually takes at one backend server."""
+
+from __future__ import annotations
+
+WARM_COUNT = 20
+SMOOTHING = 0.05
+OUTLIER_FACTOR = 4.0
+
+
+class ServiceTime:
+    """A smoothed service time that a short stall moves but little.
+
+    A sample counts at most as `OUTLIER_FACTOR` times the present value, so that
+    a stall of some dozen requests does not teach that stalling is usual, while a
+    lasting change is learned within some hundred.
+    """
+
+    def __init__(self) -> None:
+        self.typical = 0.0
+        self._count = 0
+
+    @property
+    def known(self) -> bool:
+        """Return whether enough samples have come in to judge by."""
+        return self._count >= WARM_COUNT
+
+    def add(self, seconds: float) -> None:
+        """Learn from one request."""
+        self._count += 1
+        if self._count == 1:
+            self.typical = seconds
+            return
+        bounded = min(seconds, OUTLIER_FACTOR * self.typical + 1e-6)
+        weight = max(SMOOTHING, 1.0 / self._count)
+        self.typical += weight * (bounded - self.typical)
--- /dev/null
+++ b/src/hoisthook/admission/slot_gate.py
@@ -0,0 +1,197 @@
+"""Admission against the slots of one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from hoisthook.admission.fair_queue import FairQueue
+from hoisthook.admission.service_time import ServiceTime
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.identity import CallerId
+
+STALL_FACTOR = 4.0
+STALL_FLOOR_SECONDS = 0.005
+STALL_SHARE = 0.5
+STALL_MINIMUM = 2
+MIN_RETRY_AFTER_SECONDS = 0.002
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One request's place: waiting, running, or done.
+
+    Attributes
+    ----------
+    caller : CallerId
+        Whose request it is.
+    deadline : float
+        When it is of no use any more, on the gate's clock.
+    on_admit : callable
+        Called once when a waiting ticket gets a slot.
+    """
+
+    caller: CallerId
+    deadline: float
+    on_admit: Callable[[], None] | None = None
+    started: float = -1.0
+    waiting: bool = False
+    done: bool = field(default=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request was not admitted, and when to come back (seconds)."""
+
+    code: ResultCode
+    retry_after: float
+
+
+class SlotGate:
+    """Admits at most ``limit`` requests at once; others wait briefly or are refused.
+
+    A backend server stalls when at least half of its running requests are much
+    older than requests there usually get; it takes no new work until that passes.
+
+    Parameters
+    ----------
+    slots : int
+        What the backend server announced.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self.limit = slots
+        self.queue_limit = 0
+        self.service_time = ServiceTime()
+        self._running: dict[Ticket, None] = {}
+        self._running_by_caller: dict[CallerId, int] = {}
+        self._queue = FairQueue(self._running_by_caller)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests hold a slot."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait."""
+        return len(self._queue)
+
+    def admit(self, ticket: Ticket, now: float, *, may_wait: bool) -> Refusal | None:
+        """Give a slot, a place in the queue, or a refusal.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request; ``ticket.waiting`` tells afterwards whether it waits.
+        now : float
+            Seconds on the gate's clock.
+        may_wait : bool
+            Whether it may wait when all slots are taken.
+        """
+        if self.is_stalled(now):
+            return Refusal(ResultCode.BACKEND_SERVER_EJECTED, self._time_to_slot())
+        if len(self._running) < self.limit and not len(self._queue):
+            self._start(ticket, now)
+            return None
+        if not may_wait or self.limit == 0:
+            return Refusal(ResultCode.SLOTS_FULL, self._time_to_slot())
+        return self._enqueue(ticket, now)
+
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Take back a slot or a place in the queue."""
+        if ticket.done:
+            return
+        ticket.done = True
+        if ticket.waiting:
+            self._queue.remove(ticket)
+            ticket.waiting = False
+            return
+        if ticket in self._running:
+            del self._running[ticket]
+            self._count_out(ticket.caller)
+            self.service_time.add(now - ticket.started)
+        self._admit_waiting(now)
+
+    def set_limit(self, limit: int, now: float) -> None:
+        """Change how many may run; those running are left alone."""
+        self.limit = limit
+        self._admit_waiting(now)
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether the running requests show that the backend server stalls."""
+        running = len(self._running)
+        if running < STALL_MINIMUM or not self.service_time.known:
+            return False
+        bound = max(STALL_FLOOR_SECONDS, STALL_FACTOR * self.service_time.typical)
+        needed = max(STALL_MINIMUM, int(running * STALL_SHARE))
+        late = 0
+        # Tickets are kept in order of start, so the first young one ends the count.
+        for ticket in self._running:
+            if now - ticket.started <= bound:
+                return False
+            late += 1
+            if late >= needed:
+                return True
+        return False
+
+    def refuse_waiting(self) -> list[Ticket]:
+        """Empty the queue and return the tickets that waited."""
+        tickets = self._queue.clear()
+        for ticket in tickets:
+            ticket.waiting = False
+            ticket.done = True
+        return tickets
+
+    def _enqueue(self, ticket: Ticket, now: float) -> Refusal | None:
+        wait = self._time_to_slot() * (len(self._queue) + 1)
+        if now + wait > ticket.deadline:
+            return Refusal(ResultCode.SLOTS_FULL, wait)
+        if len(self._queue) >= self.queue_limit:
+            displaced = self._queue.displace_for(ticket)
+            if displaced is None:
+                code = ResultCode.SLOTS_FULL
+                if self._queue.over_share(ticket.caller):
+                    code = ResultCode.CALLER_OVER_SHARE
+                return Refusal(code, wait)
+            displaced.waiting = False
+            displaced.done = True
+            if displaced.on_admit is not None:
+                displaced.on_admit()
+        ticket.waiting = True
+        self._queue.push(ticket)
+        return None
+
+    def _admit_waiting(self, now: float) -> None:
+        while len(self._running) < self.limit and len(self._queue):
+            ticket = self._queue.pop()
+            ticket.waiting = False
+            if ticket.deadline <= now:
+                ticket.done = True
+            else:
+                self._start(ticket, now)
+            if ticket.on_admit is not None:
+                ticket.on_admit()
+
+    def _start(self, ticket: Ticket, now: float) -> None:
+        ticket.started = now
+        self._running[ticket] = None
+        count = self._running_by_caller.get(ticket.caller, 0)
+        self._running_by_caller[ticket.caller] = count + 1
+
+    def _count_out(self, caller: CallerId) -> None:
+        count = self._running_by_caller[caller] - 1
+        if count:
+            self._running_by_caller[caller] = count
+        else:
+            del self._running_by_caller[caller]
+
+    def _time_to_slot(self) -> float:
+        slots = max(1, self.limit)
+        return max(MIN_RETRY_AFTER_SECONDS, self.service_time.typical / slots)
--- /dev/null
+++ b/src/hoisthook/configuration/change.py
@@ -0,0 +1,88 @@
+"""Records of the configuration stream."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hoisthook.configuration.service_spec import ServiceSpec
+
+RECORD_VERSION = 1
+
+
+class PutService(msgspec.Struct, frozen=True, tag="put-service", forbid_unknown_fields=True):
+    """Create or replace a service."""
+
+    spec: ServiceSpec
+
+    @property
+    def key(self) -> str:
+        """Return what the revision belongs to."""
+        return f"service/{self.spec.name}"
+
+
+class DeleteService(msgspec.Struct, frozen=True, tag="delete-service", forbid_unknown_fields=True):
+    """Remove a service."""
+
+    name: str
+
+    @property
+    def key(self) -> str:
+        """Return what the revision belongs to."""
+        return f"service/{self.name}"
+
+
+class SetDrain(msgspec.Struct, frozen=True, tag="set-drain", forbid_unknown_fields=True):
+    """Say whether a backend server takes new work."""
+
+    backend_server: str
+    drained: bool
+
+    @property
+    def key(self) -> str:
+        """Return what the revision belongs to."""
+        return f"drain/{self.backend_server}"
+
+
+Change = PutService | DeleteService | SetDrain
+
+
+class ChangeRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One operator's change as appended to the log.
+
+    Attributes
+    ----------
+    operation_id : str
+        Chosen by the operator; the same id is the same operation.
+    base_revision : int
+        Revision of the key that the change was based on; 0 where none exists.
+    change : Change
+        What to change.
+    author : str
+        Free text for the history.
+    version : int
+        Version of the record's form.
+    """
+
+    operation_id: str
+    base_revision: int
+    change: Change
+    author: str = ""
+    version: int = RECORD_VERSION
+
+    @property
+    def key(self) -> str:
+        """Return what the revision belongs to."""
+        return self.change.key
+
+
+def problem_of(record: ChangeRecord) -> str | None:
+    """Return the first rule that a record breaks, or None."""
+    if not record.operation_id or len(record.operation_id) > 128:
+        return "operation_id: not 1 to 128 characters"
+    if record.base_revision < 0:
+        return "base_revision: negative"
+    if record.version != RECORD_VERSION:
+        return f"version: {record.version} is not {RECORD_VERSION}"
+    if isinstance(record.change, PutService):
+        return record.change.spec.problem()
+    return None
--- /dev/null
+++ b/src/hoisthook/configuration/configuration_desk.py
@@ -0,0 +1,129 @@
+"""Takes operators' changes and says what became of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from hoisthook.configuration.change import problem_of
+from hoisthook.configuration.configuration_follower import CHANGES_STREAM
+from hoisthook.exceptions import AppendUnknownError
+from hoisthook.exceptions import LogUnavailableError
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from hoisthook.configuration.change import ChangeRecord
+    from hoisthook.configuration.configuration_follower import ConfigurationFollower
+    from hoisthook.configuration.configuration_state import ConfigurationState
+    from hoisthook.configuration.configuration_state import Outcome
+    from hoisthook.port.platform_log import PlatformLog
+
+SETTLE_SECONDS = 5.0
+
+
+class ChangeFailure(msgspec.Struct, frozen=True):
+    """Why a change is not in force.
+
+    Attributes
+    ----------
+    code : ResultCode
+        The numbered reason.
+    detail : str
+        What exactly.
+    winner : int
+        The key's present revision, after a lost race.
+    """
+
+    code: ResultCode
+    detail: str
+    winner: int = 0
+
+
+class ConfigurationDesk:
+    """Appends a change and answers from the fold, never from the append alone.
+
+    "Accepted" is said only when the record has been read back in the log's order
+    and won. An append whose answer was lost is looked for by its operation id; if
+    it cannot be found, the operator is told that it is unknown, and the same
+    operation id may be used again without harm.
+
+    Parameters
+    ----------
+    state : ConfigurationState
+        The fold.
+    follower : ConfigurationFollower
+        Reads the log.
+    log : PlatformLog
+        Appended to.
+    """
+
+    def __init__(
+        self, state: ConfigurationState, follower: ConfigurationFollower, log: PlatformLog
+    ) -> None:
+        self._state = state
+        self._follower = follower
+        self._log = log
+
+    async def submit(self, record: ChangeRecord) -> Result[Outcome, ChangeFailure]:
+        """Put a change in force, or say why not.
+
+        Parameters
+        ----------
+        record : ChangeRecord
+            The change with its base revision and operation id.
+
+        Returns
+        -------
+        Result of Outcome or ChangeFailure
+            The outcome's ``winner`` is the new revision.
+        """
+        problem = problem_of(record)
+        if problem is not None:
+            return Err(ChangeFailure(ResultCode.SPEC_INVALID, problem))
+        known = self._state.outcome_by_operation.get(record.operation_id)
+        if known is not None:
+            return _judge(record, known)
+        try:
+            offset = await self._log.append(CHANGES_STREAM, msgspec.json.encode(record))
+        except LogUnavailableError as error:
+            return Err(ChangeFailure(ResultCode.LOG_UNAVAILABLE, error.detail))
+        except AppendUnknownError as error:
+            return await self._look_for(record, error.detail)
+        return await self._settle(record, offset)
+
+    async def _settle(self, record: ChangeRecord, offset: int) -> Result[Outcome, ChangeFailure]:
+        await self._read_quietly()
+        if not await self._follower.wait_for(offset, SETTLE_SECONDS):
+            detail = f"record {offset} could not be read back"
+            return Err(ChangeFailure(ResultCode.APPEND_UNKNOWN, detail))
+        return self._outcome(record, "the record was passed over")
+
+    async def _look_for(self, record: ChangeRecord, detail: str) -> Result[Outcome, ChangeFailure]:
+        await self._read_quietly()
+        return self._outcome(record, detail)
+
+    async def _read_quietly(self) -> None:
+        try:
+            await self._follower.read_log()
+        except LogUnavailableError:
+            return
+
+    def _outcome(self, record: ChangeRecord, detail: str) -> Result[Outcome, ChangeFailure]:
+        outcome = self._state.outcome_by_operation.get(record.operation_id)
+        if outcome is None:
+            return Err(ChangeFailure(ResultCode.APPEND_UNKNOWN, detail))
+        return _judge(record, outcome)
+
+
+def _judge(record: ChangeRecord, outcome: Outcome) -> Result[Outcome, ChangeFailure]:
+    if outcome.key != record.key:
+        detail = f"operation {record.operation_id!r} changed {outcome.key}"
+        return Err(ChangeFailure(ResultCode.OPERATION_ID_REUSED, detail))
+    if not outcome.applied:
+        detail = f"{outcome.key} is at revision {outcome.winner}"
+        return Err(ChangeFailure(ResultCode.REVISION_CONFLICT, detail, outcome.winner))
+    return Ok(outcome)
--- /dev/null
+++ b/src/hoisthook/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""One module per command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/console/commands/check.py
@@ -0,0 +1,29 @@
+"""Checks a settings file without starting anything."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from hoisthook.settings.settings_file import load_settings
+
+if TYPE_CHECKING:
+    import argparse
+
+
+class CheckCommand:
+    """``hoisthook check FILE``."""
+
+    name = "check"
+    description = "check a settings file"
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """Add the command's arguments."""
+        parser.add_argument("file", type=Path, help="settings in TOML")
+
+    def handle(self, arguments: argparse.Namespace) -> int:
+        """Run it and return the exit status."""
+        settings = load_settings(arguments.file)
+        sys.stdout.write(f"{arguments.file}: settings of node {settings.node.id} are valid\n")
+        return 0
--- /dev/null
+++ b/src/hoisthook/console/commands/history.py
@@ -0,0 +1,30 @@
+"""Prints the newest changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hoisthook.console.operator_call import add_node_argument
+from hoisthook.console.operator_call import call
+from hoisthook.console.operator_call import print_reply
+from hoisthook.rpc import operator_pb2 as pb
+
+if TYPE_CHECKING:
+    import argparse
+
+
+class HistoryCommand:
+    """``hoisthook history``."""
+
+    name = "history"
+    description = "print the newest changes, lost races included"
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """Add the command's arguments."""
+        add_node_argument(parser)
+        parser.add_argument("--limit", type=int, default=20)
+
+    def handle(self, arguments: argparse.Namespace) -> int:
+        """Run it and return the exit status."""
+        request = pb.HistoryRequest(limit=arguments.limit)
+        return print_reply(call(arguments.node, lambda stub: stub.History(request)))
--- /dev/null
+++ b/src/hoisthook/console/commands/status.py
@@ -0,0 +1,29 @@
+"""Prints a node's status."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hoisthook.console.operator_call import add_node_argument
+from hoisthook.console.operator_call import call
+from hoisthook.console.operator_call import print_reply
+from hoisthook.rpc import operator_pb2 as pb
+
+if TYPE_CHECKING:
+    import argparse
+
+
+class StatusCommand:
+    """``hoisthook status``."""
+
+    name = "status"
+    description = "print a node's status"
+
+    def configure(self, parser: argparse.ArgumentParser) -> None:
+        """Add the command's arguments."""
+        add_node_argument(parser)
+
+    def handle(self, arguments: argparse.Namespace) -> int:
+        """Run it and return the exit status."""
+        request = pb.NodeStatusRequest()
+        return print_reply(call(arguments.node, lambda stub: stub.NodeStatus(request)))
--- /dev/null
+++ b/src/hoisthook/idempotency/__init__.py
@@ -0,0 +1,3 @@
+"""At most once for non-repeatable requests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/measure/measurer.py
@@ -0,0 +1,113 @@
+"""Reads the load endpoint of the backend server beside, within the budget."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hoisthook.adapter.http.message import encode_request_head
+from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import UnreachableError
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.measure.measure_budget import MeasureBudget
+    from hoisthook.node.beside import Beside
+    from hoisthook.port.clock import Clock
+
+READ_SECONDS = 0.25
+POLL_SECONDS = 0.05
+MAX_BYTES = 4096
+MAX_FOREIGN_SHARE = 0.5
+
+
+class LoadReading(msgspec.Struct):
+    """What a backend server's load endpoint says."""
+
+    active: int
+    healthy: bool = True
+
+
+class Measurer:
+    """Learns what passive observation cannot: work that came another way.
+
+    What a reading says is old when it arrives and may mislead, so it can take
+    away at most half of the slots.
+
+    Parameters
+    ----------
+    beside : Beside
+        The backend server's side; its ``foreign_load`` is set here.
+    pool : ClientPool
+        Connections to the backend server.
+    budget : MeasureBudget
+        The hard bound.
+    clock : Clock
+        Monotonic.
+    """
+
+    def __init__(
+        self, beside: Beside, pool: ClientPool, budget: MeasureBudget, clock: Clock
+    ) -> None:
+        self._beside = beside
+        self._pool = pool
+        self._budget = budget
+        self._clock = clock
+        self.path = ""
+
+    @property
+    def budget(self) -> MeasureBudget:
+        """Return the budget, for metrics."""
+        return self._budget
+
+    async def run(self) -> None:
+        """Read whenever the budget allows, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_SECONDS)
+            if self.path and self._beside.takes_work() and self._budget.take(self._clock.now()):
+                await self.read()
+
+    async def read(self) -> None:
+        """Read once; a read that fails teaches nothing."""
+        started = self._clock.now()
+        running = self._beside.gate.running
+        request = encode_request_head(
+            b"GET", self.path.encode(), [(b"host", b"load"), (b"accept", b"application/json")]
+        )
+        size = len(request)
+        try:
+            async with asyncio.timeout(READ_SECONDS):
+                connection = await self._pool.acquire(self._beside.address, READ_SECONDS)
+                body = await self._fetch(connection, request)
+        except (UnreachableError, BrokenExchangeError, TimeoutError):
+            self._budget.account(size, self._clock.now() - started)
+            return
+        self._budget.account(size + len(body), self._clock.now() - started)
+        self._learn(body, running)
+
+    async def _fetch(self, connection: ClientConnection, request: bytes) -> bytes:
+        body = b""
+        try:
+            await connection.send(request)
+            while data := await connection.body.read():
+                body += data
+                if len(body) > MAX_BYTES:
+                    raise BrokenExchangeError("load reading too large")
+        finally:
+            self._pool.keep(self._beside.address, connection)
+        return body
+
+    def _learn(self, body: bytes, running_before: int) -> None:
+        try:
+            reading = msgspec.json.decode(body, type=LoadReading)
+        except msgspec.DecodeError:
+            return
+        gate = self._beside.gate
+        most = int(gate.slots * MAX_FOREIGN_SHARE)
+        foreign = reading.active - max(running_before, gate.running)
+        if not reading.healthy:
+            foreign = most
+        self._beside.foreign_load = min(most, max(0, foreign))
--- /dev/null
+++ b/src/hoisthook/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Who is there, learned from peers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/membership/gossip.py
@@ -0,0 +1,156 @@
+"""Tells peers what is new and learns from them, once an interval."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.identity import parse_address
+from hoisthook.membership.member import Exchange
+from hoisthook.membership.member import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from hoisthook.identity import Address
+    from hoisthook.membership.member import Member
+    from hoisthook.membership.member_table import MemberTable
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.clock import Randomness
+    from hoisthook.port.peer_transport import PeerTransport
+
+    OnPeerOffset = Callable[[Address, int], Awaitable[None]]
+
+FULL_SYNC_SECONDS = 2.0
+JOIN_ROUNDS = 3
+FAREWELL_PEERS = 5
+RECONCILE_SHARE = 0.05
+
+
+class Gossip:
+    """Push and pull with one random peer an interval, in bounded messages.
+
+    A peer that does not answer is suspected; one that stays suspected for
+    `hoisthook.membership.member_table.SUSPECT_SECONDS` is declared dead. Tables
+    that differ although there is no news left are reconciled whole, by chance
+    and seldom, so that a lost message cannot part them for good.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Merged into.
+    transport : PeerTransport
+        Reaches peers.
+    clock : Clock
+        Monotonic.
+    randomness : Randomness
+        Chooses when to reconcile.
+    seeds : list of Address
+        Whom to ask while no one else is known.
+    interval : float
+        Seconds between two exchanges.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        transport: PeerTransport,
+        clock: Clock,
+        randomness: Randomness,
+        *,
+        seeds: list[Address],
+        interval: float,
+    ) -> None:
+        self._table = table
+        self._transport = transport
+        self._clock = clock
+        self._randomness = randomness
+        self._interval = interval
+        self._rounds = 0
+        self.seeds = seeds
+        self.configuration_offset: Callable[[], int] = lambda: -1
+        self.on_peer_offset: OnPeerOffset | None = None
+        self.on_contact: Callable[[float], None] | None = None
+        self.exchanges = 0
+        self.failures = 0
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        while True:
+            await self.round()
+            await asyncio.sleep(self._interval * (0.75 + 0.5 * self._randomness.random()))
+
+    async def round(self) -> None:
+        """Exchange once with one peer."""
+        self._rounds += 1
+        self._table.expire(self._clock.now())
+        peer = self._table.choose_peer()
+        seed = self._choose_seed(peer)
+        if seed is not None:
+            await self._exchange_with(seed, None)
+        if peer is not None:
+            await self._exchange_with(parse_address(peer.address), peer)
+
+    async def leave(self) -> None:
+        """Tell a few peers that this node leaves."""
+        self._table.update_me(self._clock.now(), status=MemberStatus.LEFT, takes_work=False)
+        await self.announce()
+
+    async def announce(self) -> None:
+        """Tell several peers at once, without waiting for the next round."""
+        peers: dict[str, Member] = {}
+        for _ in range(FAREWELL_PEERS):
+            peer = self._table.choose_peer()
+            if peer is not None:
+                peers[peer.node] = peer
+        calls = [self._exchange_with(parse_address(p.address), p) for p in peers.values()]
+        await asyncio.gather(*calls)
+
+    def receive(self, message: Exchange) -> Exchange:
+        """Take in a peer's message and return the answer to it."""
+        self._merge(message)
+        return self._message()
+
+    def _choose_seed(self, peer: Member | None) -> Address | None:
+        joining = self._rounds <= JOIN_ROUNDS or peer is None
+        if not self.seeds or not joining:
+            return None
+        return self.seeds[self._randomness.randrange(len(self.seeds))]
+
+    async def _exchange_with(self, address: Address, peer: Member | None) -> None:
+        self.exchanges += 1
+        begun = self._clock.now()
+        try:
+            answer = await self._transport.exchange(address, self._message())
+            self._merge(answer)
+            if self._wants_sync(answer):
+                for member in await self._transport.members(address):
+                    self._table.merge(member, self._clock.now())
+            if self.on_peer_offset is not None:
+                await self.on_peer_offset(address, answer.configuration_offset)
+            if self.on_contact is not None:
+                self.on_contact(begun)
+        except (OSError, TimeoutError):
+            self.failures += 1
+            if peer is not None:
+                self._table.suspect(peer.node, self._clock.now())
+
+    def _wants_sync(self, answer: Exchange) -> bool:
+        if answer.table_digest == self._table.digest:
+            return False
+        return self._rounds <= JOIN_ROUNDS or self._randomness.random() < RECONCILE_SHARE
+
+    def _message(self) -> Exchange:
+        return Exchange(
+            sender=self._table.me,
+            members=self._table.take_news(),
+            configuration_offset=self.configuration_offset(),
+            table_digest=self._table.digest,
+        )
+
+    def _merge(self, message: Exchange) -> None:
+        now = self._clock.now()
+        self._table.merge(message.sender, now)
+        for member in message.members:
+            self._table.merge(member, now)
--- /dev/null
+++ b/src/hoisthook/membership/member_table.py
@@ -0,0 +1,204 @@
+"""The nodes that this node knows, merged from gossip."""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hoisthook.membership.member import Member
+from hoisthook.membership.member import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from hoisthook.port.clock import Randomness
+
+NEWS_PER_EXCHANGE = 12
+SUSPECT_SECONDS = 1.5
+FORGET_SECONDS = 3600.0
+
+
+class MemberTable:
+    """Merges what peers say; each node alone speaks for itself.
+
+    News is handed on a bounded number of times that grows with the logarithm of
+    the number of members, newest first, `NEWS_PER_EXCHANGE` an exchange.
+
+    Parameters
+    ----------
+    me : Member
+        This node's first word about itself.
+    randomness : Randomness
+        Chooses whom to talk to.
+    """
+
+    def __init__(self, me: Member, randomness: Randomness) -> None:
+        self._me = me
+        self._randomness = randomness
+        self._by_node: dict[str, Member] = {me.node: me}
+        self._nodes: list[str] = []
+        self._changed_at_by_node: dict[str, float] = {}
+        self._by_service: dict[str, dict[str, Member]] = {}
+        self._news: deque[tuple[str, int]] = deque()
+        self._digest = 0
+        self._add_digest(me)
+        self._tell(me.node)
+
+    def __len__(self) -> int:
+        return len(self._by_node)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._by_node.values())
+
+    @property
+    def me(self) -> Member:
+        """Return this node's own record."""
+        return self._me
+
+    @property
+    def digest(self) -> int:
+        """Return a digest of the table that does not depend on order."""
+        return self._digest
+
+    def get(self, node: str) -> Member | None:
+        """Return what is known of a node."""
+        return self._by_node.get(node)
+
+    def serving(self, service: str) -> dict[str, Member]:
+        """Return the nodes whose backend servers take work for ``service``, by id."""
+        return self._by_service.get(service, {})
+
+    def update_me(self, now: float, **fields: object) -> None:
+        """Say something new about this node."""
+        changed = msgspec.structs.replace(self._me, version=self._me.version + 1, **fields)
+        self._me = changed
+        self._put(changed, now)
+
+    def merge(self, member: Member, now: float) -> bool:
+        """Take in what a peer says.
+
+        Returns
+        -------
+        bool
+            Whether it was news.
+        """
+        if member.node == self._me.node:
+            return self._refute(member, now)
+        known = self._by_node.get(member.node)
+        if known is not None and not member.supersedes(known):
+            return False
+        self._put(member, now)
+        return True
+
+    def suspect(self, node: str, now: float) -> None:
+        """Note that a node did not answer."""
+        known = self._by_node.get(node)
+        if known is not None and known.status is MemberStatus.ALIVE:
+            self._put(msgspec.structs.replace(known, status=MemberStatus.SUSPECT), now)
+
+    def expire(self, now: float) -> list[Member]:
+        """Declare dead whoever was suspected for too long; forget the long dead.
+
+        Returns
+        -------
+        list of Member
+            Those declared dead now.
+        """
+        dead = []
+        for node, changed_at in list(self._changed_at_by_node.items()):
+            member = self._by_node[node]
+            if member.status is MemberStatus.SUSPECT and now - changed_at > SUSPECT_SECONDS:
+                buried = msgspec.structs.replace(member, status=MemberStatus.DEAD)
+                self._put(buried, now)
+                dead.append(buried)
+            elif member.status in _GONE and now - changed_at > FORGET_SECONDS:
+                self._forget(node)
+        return dead
+
+    def choose_peer(self) -> Member | None:
+        """Return a random node to talk to, now and then one believed dead.
+
+        Talking to the dead heals a parted network: they answer, and refute.
+        """
+        if not self._nodes:
+            return None
+        for _ in range(8):
+            node = self._nodes[self._randomness.randrange(len(self._nodes))]
+            member = self._by_node[node]
+            if member.status not in _GONE:
+                return member
+            if member.status is MemberStatus.DEAD and self._randomness.random() < 0.2:
+                return member
+        return None
+
+    def take_news(self) -> tuple[Member, ...]:
+        """Return the news for one exchange."""
+        news = []
+        for _ in range(min(NEWS_PER_EXCHANGE, len(self._news))):
+            node, left = self._news.popleft()
+            member = self._by_node.get(node)
+            if member is None:
+                continue
+            news.append(member)
+            if left > 1:
+                self._news.append((node, left - 1))
+        return tuple(news)
+
+    def _refute(self, member: Member, now: float) -> bool:
+        mine = self._me
+        doubted = member.status is not MemberStatus.ALIVE
+        if member.version < mine.version or (member.version == mine.version and not doubted):
+            return False
+        if mine.status is MemberStatus.LEFT:
+            return False
+        self._me = msgspec.structs.replace(mine, version=member.version + 1)
+        self._put(self._me, now)
+        return True
+
+    def _put(self, member: Member, now: float) -> None:
+        known = self._by_node.get(member.node)
+        if known is None:
+            self._nodes.append(member.node)
+        else:
+            self._add_digest(known)
+            self._unlist(known)
+        self._by_node[member.node] = member
+        self._changed_at_by_node[member.node] = now
+        self._add_digest(member)
+        self._list(member)
+        self._tell(member.node)
+
+    def _forget(self, node: str) -> None:
+        member = self._by_node.pop(node)
+        self._changed_at_by_node.pop(node, None)
+        self._nodes.remove(node)
+        self._add_digest(member)
+        self._unlist(member)
+
+    def _list(self, member: Member) -> None:
+        if member.status in _GONE or not member.takes_work or not member.service:
+            return
+        self._by_service.setdefault(member.service, {})[member.node] = member
+
+    def _unlist(self, member: Member) -> None:
+        listed = self._by_service.get(member.service)
+        if listed is None:
+            return
+        listed.pop(member.node, None)
+        if not listed:
+            del self._by_service[member.service]
+
+    def _tell(self, node: str) -> None:
+        times = 3 + 2 * len(self._by_node).bit_length()
+        self._news.appendleft((node, times))
+
+    def _add_digest(self, member: Member) -> None:
+        # Exclusive or both adds a record to the digest and takes it out again.
+        text = f"{member.node} {member.incarnation} {member.version} {member.status.value}"
+        self._digest ^= zlib.crc32(text.encode())
+
+
+_GONE = (MemberStatus.DEAD, MemberStatus.LEFT)
--- /dev/null
+++ b/src/hoisthook/membership/reader_choice.py
@@ -0,0 +1,38 @@
+"""Which nodes read the platform's log by themselves."""
+
+from __future__ import annotations
+
+import heapq
+import zlib
+from typing import TYPE_CHECKING
+
+from hoisthook.membership.member import MemberStatus
+
+if TYPE_CHECKING:
+    from hoisthook.membership.member_table import MemberTable
+
+
+def is_reader(table: MemberTable, count: int) -> bool:
+    """Return whether this node is among its data centre's readers.
+
+    Each node decides alone, by the lowest hashes of the nodes it believes alive;
+    where views differ, one reader more or fewer does no harm.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Who is there.
+    count : int
+        Readers per data centre.
+    """
+    me = table.me
+    nodes = (
+        member.node
+        for member in table
+        if member.data_centre == me.data_centre and member.status is MemberStatus.ALIVE
+    )
+    return me.node in heapq.nsmallest(count, nodes, key=_hash)
+
+
+def _hash(node: str) -> int:
+    return zlib.crc32(node.encode())
--- /dev/null
+++ b/src/hoisthook/node/__init__.py
@@ -0,0 +1,3 @@
+"""The node's composition and its call path."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/node/beside.py
@@ -0,0 +1,277 @@
+"""The node's side towards the backend server beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.admission.backend_server_state import BackendServerState
+from hoisthook.admission.backend_server_state import Phase
+from hoisthook.admission.slot_gate import SlotGate
+from hoisthook.admission.slot_gate import Ticket
+from hoisthook.exceptions import UnreachableError
+from hoisthook.node import wire
+from hoisthook.node.answer import Answer
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.node.exchanger import Exchanger
+from hoisthook.result_code import ResultCode
+from hoisthook.routing.load_view import LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.adapter.http.message import Header
+    from hoisthook.identity import Address
+    from hoisthook.node.attempt import Attempt
+    from hoisthook.node.call import Call
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.clock import Randomness
+
+CONNECT_SECONDS = 0.25
+DRAINING_RETRY_SECONDS = 1.0
+UNREACHABLE_RETRY_SECONDS = 0.25
+SHED_STATUS = 503
+SHED_RETRY_SECONDS = 0.05
+UNLIMITED = 1_000_000
+FAILURE_STATUSES = frozenset({500, 502, 503, 504})
+
+RunResult = Answer | Refused | Lost
+
+
+class Beside:
+    """Admits calls to one backend server and runs them there.
+
+    Parameters
+    ----------
+    pool : ClientPool
+        Connections to the backend server.
+    clock : Clock
+        Monotonic, the loop's own.
+    randomness : Randomness
+        For the trickle to a server on probation.
+    admission : bool
+        False lets everything through; for comparisons.
+    """
+
+    def __init__(
+        self, pool: ClientPool, clock: Clock, randomness: Randomness, *, admission: bool = True
+    ) -> None:
+        self._pool = pool
+        self._clock = clock
+        self._admission = admission
+        self.state = BackendServerState(randomness)
+        self.gate = SlotGate(0)
+        self.backend_server = ""
+        self.service = ""
+        self.address: Address = ("", 0)
+        self.foreign_load = 0
+        self.share_of: Callable[[int], int] = lambda limit: limit
+        self.operator_drain = False
+        self._announced_draining = False
+        self.started = 0
+        self.finished = 0
+
+    def announced(
+        self, backend_server: str, service: str, address: Address, slots: int, *, draining: bool
+    ) -> bool:
+        """Take in the backend server's announcement.
+
+        Returns
+        -------
+        bool
+            False if another backend server announces itself here already.
+        """
+        self.state.tick(self._clock.now())
+        known = self.backend_server
+        if known not in ("", backend_server) and self.state.phase is not Phase.ABSENT:
+            return False
+        self.backend_server = backend_server
+        self.service = service
+        self.address = address
+        self.gate.slots = slots
+        self._announced_draining = draining
+        self._announce()
+        return True
+
+    def set_operator_drain(self, drained: bool) -> None:
+        """Take in whether operators want it to be left alone."""
+        if drained == self.operator_drain:
+            return
+        self.operator_drain = drained
+        if self.state.phase is not Phase.ABSENT:
+            self._announce()
+
+    def _announce(self) -> None:
+        draining = self._announced_draining or self.operator_drain
+        self.state.announced(self._clock.now(), draining=draining)
+
+    def takes_work(self) -> bool:
+        """Return whether peers should send work here."""
+        self.state.tick(self._clock.now())
+        return self.state.phase not in (Phase.ABSENT, Phase.DRAINING)
+
+    def report(self) -> LoadReport:
+        """Return the load as it is now."""
+        gate = self.gate
+        return LoadReport(gate.running, gate.limit, gate.waiting, gate.service_time.typical)
+
+    async def run(self, call: Call, attempt: Attempt) -> RunResult:
+        """Run a call at the backend server, or say truthfully that it was not run."""
+        now = self._clock.now()
+        refused = self._refuse_by_phase(call, now)
+        if refused is not None:
+            return refused
+        self._set_limits(call, now)
+        ticket = Ticket(call.caller, call.deadline)
+        refusal = self.gate.admit(ticket, now, may_wait=attempt.may_wait)
+        if refusal is not None:
+            return Refused(refusal.code, refusal.retry_after)
+        if ticket.waiting:
+            await self._wait_for_slot(ticket, attempt)
+            if ticket.started < 0:
+                return Refused(ResultCode.SLOTS_FULL, self.gate.service_time.typical)
+        return await self._run_admitted(call, attempt, ticket)
+
+    def tick(self) -> None:
+        """Let time pass for the phase and its limits."""
+        now = self._clock.now()
+        self.state.tick(now)
+        if self.state.phase in (Phase.ABSENT, Phase.DRAINING):
+            self.gate.refuse_waiting()
+
+    def _refuse_by_phase(self, call: Call, now: float) -> Refused | None:
+        if call.spec.name != self.service:
+            return Refused(ResultCode.NO_BACKEND_SERVER, DRAINING_RETRY_SECONDS)
+        if now >= call.deadline:
+            return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+        if not self._admission or self.state.takes(now):
+            return None
+        if self.state.phase in (Phase.DRAINING, Phase.ABSENT):
+            return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
+        return Refused(ResultCode.BACKEND_SERVER_EJECTED, UNREACHABLE_RETRY_SECONDS)
+
+    def _set_limits(self, call: Call, now: float) -> None:
+        gate = self.gate
+        if not self._admission:
+            gate.limit = UNLIMITED
+            return
+        slots = gate.slots
+        configured = call.spec.concurrency_per_backend_server
+        if configured:
+            slots = min(slots, configured)
+        if call.spec.concurrency_limit:
+            slots = min(slots, self.share_of(call.spec.concurrency_limit))
+        limit = min(slots, max(1, self.state.limit_of(slots, now) - self.foreign_load))
+        queue = call.spec.queue_per_backend_server
+        gate.queue_limit = queue if queue >= 0 else max(1, slots // 2)
+        if limit != gate.limit:
+            gate.set_limit(limit, now)
+
+    async def _wait_for_slot(self, ticket: Ticket, attempt: Attempt) -> None:
+        loop = asyncio.get_running_loop()
+        admitted: asyncio.Future[None] = loop.create_future()
+
+        def wake() -> None:
+            if not admitted.done():
+                admitted.set_result(None)
+
+        ticket.on_admit = wake
+        attempt.on_abandon(wake)
+        timer = loop.call_later(max(0.0, ticket.deadline - self._clock.now()), wake)
+        try:
+            await admitted
+        except asyncio.CancelledError:
+            self.gate.release(ticket, self._clock.now())
+            raise
+        finally:
+            timer.cancel()
+        if ticket.waiting:
+            self.gate.release(ticket, self._clock.now())
+
+    async def _run_admitted(self, call: Call, attempt: Attempt, ticket: Ticket) -> RunResult:
+        connection: ClientConnection | None = None
+        try:
+            connection = self._pool.take_idle(self.address)
+            if connection is None:
+                connection = await self._pool.open(self.address, CONNECT_SECONDS)
+            now = self._clock.now()
+            if attempt.abandoned or now >= call.deadline:
+                self._end(ticket, connection, keep=True, failed=None)
+                return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+            return await self._exchange(call, attempt, ticket, connection, now)
+        except UnreachableError:
+            self._end(ticket, None, keep=False, failed=True)
+            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_RETRY_SECONDS)
+        except asyncio.CancelledError:
+            self._end(ticket, connection, keep=False, failed=None)
+            raise
+
+    async def _exchange(
+        self,
+        call: Call,
+        attempt: Attempt,
+        ticket: Ticket,
+        connection: ClientConnection,
+        now: float,
+    ) -> RunResult:
+        exchanger = Exchanger(call, self._headers_for(call, attempt, now))
+        self.started += 1
+        head = await exchanger.send(connection, attempt, now)
+        if isinstance(head, Lost):
+            late = self._clock.now() >= call.deadline
+            failed = None if late or attempt.abandoned else True
+            self._end(ticket, connection, keep=False, failed=failed)
+            return Lost(ResultCode.DEADLINE_DURING_RUN) if late else head
+        if head.status == SHED_STATUS and head.get(wire.SHED) is not None:
+            exchanger.stop()
+            self._end(ticket, connection, keep=connection.body.complete, failed=None)
+            return Refused(ResultCode.BACKEND_SERVER_SHED, SHED_RETRY_SECONDS)
+        if not _is_framed(call, head):
+            exchanger.stop()
+            self._end(ticket, connection, keep=False, failed=True)
+            return Lost(ResultCode.ANSWER_UNFRAMED)
+        failed = head.status in FAILURE_STATUSES
+
+        def finish(whole: bool) -> None:
+            exchanger.stop()
+            self.finished += 1
+            self._end(ticket, connection, keep=whole, failed=failed)
+
+        return Answer(head, connection.body, self.backend_server, finish)
+
+    def _headers_for(self, call: Call, attempt: Attempt, now: float) -> list[Header]:
+        remaining = int((call.deadline - now) * 1000)
+        headers = list(call.headers)
+        headers.append((b"hoisthook-timeout-ms", b"%d" % max(1, remaining)))
+        headers.append((b"hoisthook-request-id", call.request_id.encode()))
+        if attempt.hedge or call.under_hedge:
+            headers.append((b"hoisthook-hedge", b"1"))
+        return headers
+
+    def _end(
+        self,
+        ticket: Ticket,
+        connection: ClientConnection | None,
+        *,
+        keep: bool,
+        failed: bool | None,
+    ) -> None:
+        now = self._clock.now()
+        if connection is not None:
+            if keep:
+                self._pool.keep(self.address, connection)
+            else:
+                connection.close()
+        self.gate.release(ticket, now)
+        if failed is not None:
+            self.state.answered(now, failed=failed)
+
+
+def _is_framed(call: Call, head: AnswerHead) -> bool:
+    if call.method == b"HEAD" or head.status in (204, 304):
+        return True
+    return head.get(b"content-length") is not None or head.get(b"transfer-encoding") is not None
--- /dev/null
+++ b/src/hoisthook/node/call.py
@@ -0,0 +1,88 @@
+"""A caller's request on its way through a node."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.body_stream import BodyStream
+    from hoisthook.adapter.http.message import Header
+    from hoisthook.configuration.service_spec import ServiceSpec
+    from hoisthook.identity import CallerId
+    from hoisthook.identity import RequestId
+    from hoisthook.result_code import ResultCode
+
+MAX_BUFFERED_BODY_BYTES = 64 * 1024
+
+
+@dataclass(slots=True)
+class Call:
+    """One request, parsed and checked.
+
+    Attributes
+    ----------
+    request_id : RequestId
+        For logs; handed down.
+    spec : ServiceSpec
+        The service's limits.
+    caller : CallerId
+        Whose share it counts against.
+    method, target : bytes
+        As the caller sent them.
+    headers : list of Header
+        End to end, without hoisthook's own.
+    body : bytes
+        What is there of the body; all of it if ``rest`` is None.
+    rest : BodyStream or None
+        What follows, readable once.
+    received : float
+        When the node took it up, on the node's clock.
+    deadline : float
+        When its answer is of no use any more.
+    repeatable : bool
+        Whether the service says that it may run more than once.
+    under_hedge : bool
+        Whether it comes from a hedge further up, and so is not hedged again.
+    """
+
+    request_id: RequestId
+    spec: ServiceSpec
+    caller: CallerId
+    method: bytes
+    target: bytes
+    headers: list[Header]
+    body: bytes
+    rest: BodyStream | None
+    received: float
+    deadline: float
+    repeatable: bool
+    under_hedge: bool = False
+
+    @property
+    def replayable(self) -> bool:
+        """Return whether the body can still be sent from its beginning."""
+        return self.rest is None
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was not run at that backend server.
+
+    Attributes
+    ----------
+    code : ResultCode
+        Why.
+    retry_after : float
+        Seconds after which to come back.
+    """
+
+    code: ResultCode
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Whether the request was run cannot be known."""
+
+    code: ResultCode
--- /dev/null
+++ b/src/hoisthook/node/dispatcher.py
@@ -0,0 +1,244 @@
+"""Tries, retries and hedges of one call."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hoisthook.node.answer import Answer
+from hoisthook.node.attempt import Attempt
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.node.hedge_race import HedgeRace
+from hoisthook.result_code import ResultCode
+from hoisthook.retry.hedge_timer import HedgeTimer
+from hoisthook.retry.retry_budget import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from hoisthook.membership.member_table import MemberTable
+    from hoisthook.node.beside import RunResult
+    from hoisthook.node.call import Call
+    from hoisthook.node.hop_client import HopClient
+    from hoisthook.port.clock import Clock
+    from hoisthook.routing.candidate import Candidate
+    from hoisthook.routing.router import Router
+
+DIRECT_TRIES = 2
+MAX_TRIES = 6
+NO_BACKEND_SERVER_RETRY_SECONDS = 0.5
+CLOSING_CODES = frozenset(
+    {
+        ResultCode.BACKEND_SERVER_DRAINING,
+        ResultCode.BACKEND_SERVER_EJECTED,
+        ResultCode.INCARNATION_MISMATCH,
+        ResultCode.NODE_STOPPING,
+        ResultCode.NODE_RESUMING,
+        ResultCode.UNREACHABLE,
+        ResultCode.NO_BACKEND_SERVER,
+    }
+)
+
+
+@dataclass(slots=True)
+class Dispatched:
+    """What became of a call.
+
+    Attributes
+    ----------
+    result : Answer, Refused or Lost
+        The last word.
+    attempts : int
+        How many tries were sent, hedges included.
+    node : str
+        The node that the last try went to.
+    reason : str
+        Why the last try was made.
+    """
+
+    result: RunResult
+    attempts: int
+    node: str
+    reason: str
+
+
+class ServiceEffort:
+    """Retry budget and hedge timer of one service at this entry."""
+
+    def __init__(self, percent: float) -> None:
+        self.budget = RetryBudget(percent)
+        self.timer = HedgeTimer()
+
+
+class Dispatcher:
+    """Finds a backend server that runs a call, within deadline and budgets.
+
+    A refusal costs the refusing backend server nothing, so the next one is tried
+    at once; when those tried are full, the call waits beside the one with the
+    shortest queue. A lost answer is tried again only if the call is repeatable
+    and the budget allows.
+
+    Parameters
+    ----------
+    router : Router
+        Chooses.
+    client : HopClient
+        Sends.
+    table : MemberTable
+        Told of nodes that cannot be reached.
+    clock : Clock
+        Monotonic.
+    hedging : bool
+        False for baselines.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        client: HopClient,
+        table: MemberTable,
+        clock: Clock,
+        *,
+        hedging: bool = True,
+    ) -> None:
+        self._router = router
+        self._client = client
+        self._table = table
+        self._clock = clock
+        self._hedging = hedging
+        self._numbers = 0
+        self.effort_by_service: dict[str, ServiceEffort] = {}
+
+    async def dispatch(self, call: Call) -> Dispatched:
+        """Run the call somewhere, or say what is known of it."""
+        effort = self._effort(call)
+        effort.budget.call()
+        done = Dispatched(self._none(), 0, "", "first")
+        tried: set[str] = set()
+        lost: Lost | None = None
+        full = False
+        soonest = float("inf")
+        while done.attempts < MAX_TRIES:
+            waits = full and len(tried) >= DIRECT_TRIES
+            candidate = self._next(call, tried, waits=waits)
+            if candidate is None and full and not waits:
+                waits = True
+                candidate = self._next(call, tried, waits=True)
+            if candidate is None:
+                break
+            done.node = candidate.member.node
+            result = await self._try(candidate, call, effort, done, may_wait=waits)
+            done.result = result
+            if isinstance(result, Answer):
+                return done
+            if not call.replayable:
+                return done
+            if isinstance(result, Lost):
+                lost = result
+                if not self._may_repeat(call, effort):
+                    return done
+                done.reason = "answer lost"
+            else:
+                soonest = min(soonest, result.retry_after)
+                full = full or result.code is ResultCode.SLOTS_FULL
+                done.reason = result.code.name
+                if waits or result.code is ResultCode.DEADLINE_PASSED:
+                    break
+            tried.add(candidate.member.node)
+        done.result = lost or self._final(done.result, soonest, full=full)
+        return done
+
+    def forget(self, services: set[str]) -> None:
+        """Drop budgets of services that are configured no more."""
+        for name in set(self.effort_by_service) - services:
+            del self.effort_by_service[name]
+
+    def _next(self, call: Call, tried: set[str], *, waits: bool) -> Candidate | None:
+        if self._clock.now() >= call.deadline:
+            return None
+        if waits:
+            return self._router.least_waiting(call.spec.name)
+        return self._router.choose(call.spec.name, tried, self._clock.now())
+
+    async def _try(
+        self,
+        candidate: Candidate,
+        call: Call,
+        effort: ServiceEffort,
+        done: Dispatched,
+        *,
+        may_wait: bool,
+    ) -> RunResult:
+        attempt = self._attempt(may_wait=may_wait)
+        done.attempts += 1
+        started = self._clock.now()
+        if not self._may_hedge(call):
+            result = await self._client.run(candidate, call, attempt)
+        else:
+            race = HedgeRace(lambda: self._start_hedge(candidate, call, effort, done))
+            result = await race.run(
+                self._client.run(candidate, call, attempt), attempt, effort.timer.delay
+            )
+        if isinstance(result, Answer):
+            effort.timer.answered(self._clock.now() - started)
+        elif isinstance(result, Refused):
+            self._learn_refusal(candidate, result)
+        return result
+
+    def _start_hedge(
+        self, candidate: Candidate, call: Call, effort: ServiceEffort, done: Dispatched
+    ) -> tuple[Attempt, Coroutine[object, object, RunResult]] | None:
+        now = self._clock.now()
+        other = self._router.choose(call.spec.name, {candidate.member.node}, now)
+        if other is None or other.view.closed_until > now or not effort.budget.take():
+            return None
+        attempt = self._attempt(may_wait=False, hedge=True)
+        done.attempts += 1
+        done.reason = "hedged"
+        return attempt, self._client.run(other, call, attempt)
+
+    def _attempt(self, *, may_wait: bool, hedge: bool = False) -> Attempt:
+        self._numbers += 1
+        return Attempt(self._numbers, may_wait=may_wait, hedge=hedge)
+
+    def _may_hedge(self, call: Call) -> bool:
+        return (
+            self._hedging
+            and call.repeatable
+            and call.spec.hedge
+            and call.replayable
+            and not call.under_hedge
+        )
+
+    def _may_repeat(self, call: Call, effort: ServiceEffort) -> bool:
+        if not call.repeatable or self._clock.now() >= call.deadline:
+            return False
+        return effort.budget.take()
+
+    def _learn_refusal(self, candidate: Candidate, refused: Refused) -> None:
+        if refused.code not in CLOSING_CODES:
+            return
+        now = self._clock.now()
+        candidate.view.close_until(now + refused.retry_after)
+        if refused.code is ResultCode.UNREACHABLE and not candidate.local:
+            self._table.suspect(candidate.member.node, now)
+
+    def _effort(self, call: Call) -> ServiceEffort:
+        effort = self.effort_by_service.get(call.spec.name)
+        if effort is None:
+            effort = ServiceEffort(call.spec.retry_percent)
+            self.effort_by_service[call.spec.name] = effort
+        effort.budget.percent = call.spec.retry_percent
+        return effort
+
+    def _none(self) -> Refused:
+        return Refused(ResultCode.NO_BACKEND_SERVER, NO_BACKEND_SERVER_RETRY_SECONDS)
+
+    def _final(self, last: RunResult, soonest: float, *, full: bool) -> RunResult:
+        if not isinstance(last, Refused) or soonest == float("inf"):
+            return last
+        if last.code in (ResultCode.CALLER_OVER_SHARE, ResultCode.DEADLINE_PASSED):
+            return Refused(last.code, soonest)
+        code = ResultCode.OVERLOADED if full else last.code
+        return Refused(code, soonest)
--- /dev/null
+++ b/src/hoisthook/node/hop_client.py
@@ -0,0 +1,178 @@
+"""Sends attempts to the node beside a chosen backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hoisthook.exceptions import UnreachableError
+from hoisthook.identity import Incarnation
+from hoisthook.node import wire
+from hoisthook.node.answer import Answer
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.node.exchanger import Exchanger
+from hoisthook.result_code import BY_NUMBER
+from hoisthook.result_code import Ran
+from hoisthook.result_code import ResultCode
+from hoisthook.routing.load_view import LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.adapter.http.message import Header
+    from hoisthook.node.attempt import Attempt
+    from hoisthook.node.beside import Beside
+    from hoisthook.node.beside import RunResult
+    from hoisthook.node.call import Call
+    from hoisthook.port.clock import Clock
+    from hoisthook.routing.candidate import Candidate
+
+CONNECT_SECONDS = 0.25
+UNREACHABLE_RETRY_SECONDS = 0.25
+DEFAULT_RETRY_SECONDS = 0.05
+
+
+class HopClient:
+    """Runs an attempt at a candidate: in this process if it is beside, else one hop away.
+
+    Parameters
+    ----------
+    pool : ClientPool
+        Connections to other nodes.
+    beside : Beside
+        This node's own backend server.
+    clock : Clock
+        Monotonic, the loop's own.
+    incarnation : Incarnation
+        This node's.
+    """
+
+    def __init__(
+        self, pool: ClientPool, beside: Beside, clock: Clock, incarnation: Incarnation
+    ) -> None:
+        self._pool = pool
+        self._beside = beside
+        self._clock = clock
+        self._incarnation = incarnation
+
+    async def run(self, candidate: Candidate, call: Call, attempt: Attempt) -> RunResult:
+        """Run the attempt and learn from what comes back."""
+        view = candidate.view
+        view.sent()
+        ended = False
+
+        def end() -> None:
+            nonlocal ended
+            if not ended:
+                ended = True
+                view.ended()
+
+        try:
+            if candidate.local:
+                result = await self._beside.run(call, attempt)
+                view.reported(self._beside.report(), self._clock.now())
+            else:
+                result = await self._run_remote(candidate, call, attempt)
+        except BaseException:
+            end()
+            raise
+        if not isinstance(result, Answer):
+            end()
+            return result
+        return _ending_with(result, end)
+
+    async def _run_remote(self, candidate: Candidate, call: Call, attempt: Attempt) -> RunResult:
+        connection = self._pool.take_idle(candidate.address)
+        if connection is None:
+            try:
+                connection = await self._pool.open(candidate.address, CONNECT_SECONDS)
+            except UnreachableError:
+                return Refused(ResultCode.UNREACHABLE, UNREACHABLE_RETRY_SECONDS)
+        sent = self._clock.now()
+        if attempt.abandoned or sent >= call.deadline:
+            self._pool.keep(candidate.address, connection)
+            return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+        exchanger = Exchanger(call, self._headers(candidate, call, attempt, sent))
+        head = await exchanger.send(connection, attempt, sent)
+        if isinstance(head, Lost):
+            if self._clock.now() >= call.deadline:
+                return Lost(ResultCode.DEADLINE_DURING_RUN)
+            return head
+        return self._read_head(candidate, connection, exchanger, head, sent)
+
+    def _headers(
+        self, candidate: Candidate, call: Call, attempt: Attempt, now: float
+    ) -> list[Header]:
+        header = wire.AttemptHeader(
+            sender=self._incarnation,
+            number=attempt.number,
+            target=Incarnation(candidate.member.incarnation),
+            may_wait=attempt.may_wait,
+            repeatable=call.repeatable,
+            hedge=attempt.hedge or call.under_hedge,
+        )
+        remaining = (call.deadline - now) * 1000.0
+        return [
+            *call.headers,
+            (wire.ATTEMPT, header.encode()),
+            (wire.SERVICE, call.spec.name.encode()),
+            (wire.CALLER, call.caller.encode()),
+            (wire.TIMEOUT_MS, b"%.3f" % remaining),
+            (wire.REQUEST_ID, call.request_id.encode()),
+        ]
+
+    def _read_head(
+        self,
+        candidate: Candidate,
+        connection: ClientConnection,
+        exchanger: Exchanger,
+        head: AnswerHead,
+        sent: float,
+    ) -> RunResult:
+        now = self._clock.now()
+        said: dict[bytes, bytes] = {
+            name: value for name, value in head.headers if name.startswith(wire.OWN_PREFIX)
+        }
+        report = LoadReport.decode(said.get(wire.LOAD, b""))
+        if report is not None:
+            candidate.view.reported(report, now)
+
+        def finish(whole: bool) -> None:
+            exchanger.stop()
+            if whole:
+                self._pool.keep(candidate.address, connection)
+            else:
+                connection.close()
+
+        result = said.get(wire.RESULT)
+        if result is not None:
+            finish(whole=connection.body.complete)
+            return _failure(result, said)
+        inside = said.get(wire.INSIDE_MICROS, b"")
+        if inside.isdigit():
+            candidate.view.took(now - sent, int(inside) / 1e6)
+        ran_by = said.get(wire.RAN_BY, b"").decode("latin-1")
+        return Answer(head, connection.body, ran_by, finish)
+
+
+def _failure(result: bytes, said: dict[bytes, bytes]) -> Refused | Lost:
+    number = result.split(b" ", 1)[0]
+    code = BY_NUMBER.get(int(number)) if number.isdigit() else None
+    if code is None:
+        return Lost(ResultCode.ANSWER_LOST)
+    if code.ran is not Ran.NOT_RUN:
+        return Lost(code)
+    retry_after = said.get(wire.RETRY_AFTER_MS, b"")
+    seconds = int(retry_after) / 1000.0 if retry_after.isdigit() else DEFAULT_RETRY_SECONDS
+    return Refused(code, seconds)
+
+
+def _ending_with(answer: Answer, end: Callable[[], None]) -> Answer:
+    def finish(whole: bool) -> None:
+        answer.finish(whole=whole)
+        end()
+
+    return Answer(answer.head, answer.body, answer.ran_by, finish)
--- /dev/null
+++ b/src/hoisthook/node/node.py
@@ -0,0 +1,441 @@
+"""A node: its parts, put together, started and closed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import socket
+import time
+from typing import TYPE_CHECKING
+
+from grpclib.server import Server
+
+from hoisthook.adapter.control_app import make_announcement_app
+from hoisthook.adapter.control_app import make_peer_app
+from hoisthook.adapter.http.asgi_bridge import serve_asgi
+from hoisthook.adapter.http.call_server import CallServer
+from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.adapter.operator_service import OperatorService
+from hoisthook.admission.concurrency_share import ConcurrencyShare
+from hoisthook.configuration.configuration_desk import ConfigurationDesk
+from hoisthook.configuration.configuration_follower import ConfigurationFollower
+from hoisthook.configuration.configuration_state import ConfigurationState
+from hoisthook.exceptions import HoisthookError
+from hoisthook.idempotency.key_register import KeyRegister
+from hoisthook.identity import Incarnation
+from hoisthook.identity import NodeId
+from hoisthook.identity import format_address
+from hoisthook.identity import parse_address
+from hoisthook.measure.measure_budget import MeasureBudget
+from hoisthook.measure.measurer import Measurer
+from hoisthook.membership.gossip import Gossip
+from hoisthook.membership.member import Member
+from hoisthook.membership.member_table import MemberTable
+from hoisthook.membership.pause_guard import TICK_SECONDS
+from hoisthook.membership.pause_guard import PauseGuard
+from hoisthook.membership.reader_choice import is_reader
+from hoisthook.node import wire
+from hoisthook.node.beside import Beside
+from hoisthook.node.dispatcher import Dispatcher
+from hoisthook.node.entry import Entry
+from hoisthook.node.hop_client import HopClient
+from hoisthook.node.hop_server import HopServer
+from hoisthook.node.key_desk import KeyDesk
+from hoisthook.node.node_metrics import NodeMetrics
+from hoisthook.node.reply import refuse
+from hoisthook.result_code import Ran
+from hoisthook.result_code import ResultCode
+from hoisthook.routing.policy import PolicyName
+from hoisthook.routing.policy import make_policy
+from hoisthook.routing.router import Router
+from hoisthook.rpc import operator_pb2 as pb
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.control_app import Announcement
+    from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.adapter.json_log import JsonDecisionLog
+    from hoisthook.adapter.statsd_metrics import StatsdMetrics
+    from hoisthook.identity import Address
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.peer_transport import PeerTransport
+    from hoisthook.port.platform_log import PlatformLog
+    from hoisthook.settings.node_settings import NodeSettings
+
+FAREWELL_SECONDS = 0.5
+HOUSEKEEPING_SECONDS = 5.0
+LOG_FLUSH_SECONDS = 0.1
+
+
+class Node:
+    """One process beside one backend server.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Checked.
+    log : PlatformLog
+        The platform's log.
+    peers : PeerTransport
+        Reaches other nodes.
+    decisions : JsonDecisionLog
+        Gets decisions and events.
+    clock : Clock
+        Monotonic, the loop's own.
+    metrics : StatsdMetrics, optional
+        Where metrics go.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        *,
+        log: PlatformLog,
+        peers: PeerTransport,
+        decisions: JsonDecisionLog,
+        clock: Clock,
+        metrics: StatsdMetrics | None = None,
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._peers = peers
+        self._decisions = decisions
+        self._clock = clock
+        self._statsd = metrics
+        self._randomness = random.Random(secrets.randbits(64))
+        self.incarnation = Incarnation(secrets.token_hex(8))
+        self._tasks: list[asyncio.Task[None]] = []
+        self._announcing: set[asyncio.Task[None]] = set()
+        self.state = ConfigurationState()
+        self._guard = PauseGuard(clock.now())
+        self._share = ConcurrencyShare(settings.node.id)
+        self._hop_pool = ClientPool()
+        self._backend_pool = ClientPool()
+        self._operators: Server | None = None
+        self._make_servers()
+        self._make_membership()
+        self._make_configuration()
+        self._make_path()
+
+    @property
+    def callers_address(self) -> Address:
+        """Return where callers reach the node."""
+        return self._callers.address
+
+    @property
+    def peers_address(self) -> Address:
+        """Return where other nodes reach it."""
+        return self._peer_server.address
+
+    @property
+    def announcements_address(self) -> Address:
+        """Return where its backend server announces itself."""
+        return self._announcements.address
+
+    @property
+    def operators_address(self) -> Address:
+        """Return where operators reach it."""
+        return self._operators_address
+
+    async def start(self) -> None:
+        """Open all sockets, then begin to talk and to follow the log.
+
+        Raises
+        ------
+        HoisthookError
+            With ``PORT_UNAVAILABLE`` if an address cannot be opened.
+        """
+        await self._callers.start()
+        await self._peer_server.start()
+        await self._announcements.start()
+        await self._start_operators()
+        self._table.update_me(self._clock.now(), address=format_address(self.peers_address))
+        loop = asyncio.get_running_loop()
+        runs = [
+            self._tick_forever(),
+            self._housekeep_forever(),
+            self._publish_forever(),
+            self._flush_forever(),
+            self._gossip.run(),
+            self._follower.run(),
+            self._measurer.run(),
+        ]
+        self._tasks = [loop.create_task(run) for run in runs]
+        self._decisions.event(
+            "started",
+            incarnation=self.incarnation,
+            callers=format_address(self.callers_address),
+            peers=format_address(self.peers_address),
+            announcements=format_address(self.announcements_address),
+            operators=format_address(self.operators_address),
+        )
+
+    async def close(self) -> bool:
+        """Leave, let requests in progress end, and close everything.
+
+        Returns
+        -------
+        bool
+            Whether every request in progress ended by itself.
+        """
+        await self._gossip.leave()
+        await asyncio.sleep(FAREWELL_SECONDS)
+        self._entry.stopping = True
+        self._hop_server.stopping = True
+        timeout = self._settings.shutdown.drain_seconds
+        ended = await asyncio.gather(self._callers.close(timeout), self._peer_server.close(timeout))
+        await self._announcements.close(1.0)
+        await self._close_operators()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._hop_pool.close()
+        self._backend_pool.close()
+        await self._peers.close()
+        await self._log.close()
+        self._publish()
+        self._decisions.event("stopped", whole=all(ended))
+        if self._statsd is not None:
+            self._statsd.close()
+        return all(ended)
+
+    def _make_servers(self) -> None:
+        listen = self._settings.listen
+        self._callers = CallServer(parse_address(listen.callers), self._serve_caller)
+        self._peer_server = CallServer(parse_address(listen.peers), self._serve_peer)
+        self._announcements = CallServer(
+            parse_address(listen.announcements), self._serve_announcement
+        )
+        self._operators_address = parse_address(listen.operators)
+
+    def _make_membership(self) -> None:
+        me = Member(
+            node=self._settings.node.id,
+            incarnation=self.incarnation,
+            # Wall-clock time only orders a node's own restarts; peers' copies
+            # that carry a higher version are outbid when they come back.
+            version=time.time_ns() // 1_000_000,
+            address=self._settings.listen.peers,
+            data_centre=self._settings.node.data_centre,
+        )
+        self._table = MemberTable(me, self._randomness)
+        self._gossip = Gossip(
+            self._table,
+            self._peers,
+            self._clock,
+            self._randomness,
+            seeds=[parse_address(seed) for seed in self._settings.peers.seeds],
+            interval=self._settings.peers.interval_seconds,
+        )
+        self._gossip.on_contact = self._guard.contacted
+
+    def _make_configuration(self) -> None:
+        self._follower = ConfigurationFollower(
+            self.state,
+            self._log,
+            self._peers,
+            self._clock,
+            self._randomness,
+            retention=self._settings.log.retention_seconds,
+        )
+        readers = self._settings.log.readers_per_data_centre
+        self._follower.is_reader = lambda: is_reader(self._table, readers)
+        self._follower.on_contact = self._guard.contacted
+        self._follower.on_change = self._configuration_changed
+        self._gossip.configuration_offset = lambda: self.state.offset
+        self._gossip.on_peer_offset = self._follower.peer_offset
+        self._desk = ConfigurationDesk(self.state, self._follower, self._log)
+
+    def _make_path(self) -> None:
+        routing = self._settings.routing
+        is_product = routing.policy is PolicyName.HOISTHOOK
+        self.beside = Beside(
+            self._backend_pool, self._clock, self._randomness, admission=routing.admission
+        )
+        self.beside.share_of = self._share.of
+        self._measurer = Measurer(
+            self.beside, self._backend_pool, MeasureBudget(0.0, self._clock.now()), self._clock
+        )
+        self._router = Router(self._table, make_policy(routing.policy, self._randomness))
+        client = HopClient(self._hop_pool, self.beside, self._clock, self.incarnation)
+        self._dispatcher = Dispatcher(
+            self._router, client, self._table, self._clock, hedging=is_product
+        )
+        node = NodeId(self._settings.node.id)
+        self._register = KeyRegister(node, self.incarnation, self._clock, self._randomness)
+        self._key_desk = KeyDesk(
+            self._register, self.state, self._table, self._hop_pool, self._clock
+        )
+        self.metrics = NodeMetrics(self._decisions)
+        self._entry = Entry(
+            self._dispatcher,
+            self._key_desk,
+            self.state,
+            self._guard,
+            self._clock,
+            self.incarnation,
+            self.metrics,
+        )
+        self._hop_server = HopServer(
+            self.beside, self.state, self._guard, self._clock, self.incarnation, self.metrics
+        )
+        self._peer_app = make_peer_app(self._gossip, self._table, self._follower)
+        self._announcement_app = make_announcement_app(self._announced, self._announcement_status)
+
+    async def _serve_caller(self, exchange: ServerExchange) -> None:
+        await self._entry.handle(exchange)
+
+    async def _serve_peer(self, exchange: ServerExchange) -> None:
+        head = exchange.head
+        attempt = head.get(wire.ATTEMPT)
+        if attempt is not None:
+            await self._hop_server.handle(exchange, attempt)
+            return
+        holder = head.get(wire.HOLDER)
+        if holder is None:
+            await serve_asgi(self._peer_app, exchange)
+        elif holder.decode("latin-1") != self.incarnation:
+            refuse(exchange, ResultCode.HOLDER_GONE, ran=Ran.UNKNOWN)
+        else:
+            await self._entry.handle(exchange)
+
+    async def _serve_announcement(self, exchange: ServerExchange) -> None:
+        await serve_asgi(self._announcement_app, exchange)
+
+    def _announced(self, message: Announcement) -> bool:
+        taken = self.beside.announced(
+            message.backend_server,
+            message.service,
+            parse_address(message.address),
+            message.slots,
+            draining=message.draining,
+        )
+        if taken:
+            self._measurer.path = message.load_path
+            self._configuration_changed()
+        return taken
+
+    def _announcement_status(self) -> dict[str, object]:
+        return {"phase": self.beside.state.phase.value, "node": self._settings.node.id}
+
+    def _configuration_changed(self) -> None:
+        self.beside.set_operator_drain(self.beside.backend_server in self.state.drained)
+        spec = self.state.service_by_name.get(self.beside.service)
+        self._measurer.budget.rate = 0.0 if spec is None else spec.measure_per_second
+        self._say_what_changed()
+
+    def _say_what_changed(self) -> None:
+        beside = self.beside
+        me = self._table.me
+        takes_work = beside.takes_work()
+        told = (me.backend_server, me.service, me.slots, me.takes_work)
+        if told == (beside.backend_server, beside.service, beside.gate.slots, takes_work):
+            return
+        self._table.update_me(
+            self._clock.now(),
+            backend_server=beside.backend_server,
+            service=beside.service,
+            slots=beside.gate.slots,
+            takes_work=takes_work,
+        )
+        self._decisions.event(
+            "backend_server",
+            backend_server=beside.backend_server,
+            service=beside.service,
+            phase=beside.state.phase.value,
+            takes_work=takes_work,
+        )
+        task = asyncio.get_running_loop().create_task(self._gossip.announce())
+        self._announcing.add(task)
+        task.add_done_callback(self._announcing.discard)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now = self._clock.now()
+            pauses = self._guard.pauses
+            self._guard.check(now)
+            if self._guard.pauses != pauses:
+                self._decisions.event("paused")
+            self.beside.tick()
+            self._share.observe(self._table.serving(self.beside.service), now)
+            self._say_what_changed()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def _housekeep_forever(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self._register.expire()
+            self._hop_pool.drop_idle()
+            self._backend_pool.drop_idle()
+            self._router.forget_gone()
+            self._dispatcher.forget(set(self.state.service_by_name))
+
+    async def _flush_forever(self) -> None:
+        while True:
+            await asyncio.sleep(LOG_FLUSH_SECONDS)
+            self._decisions.flush()
+
+    async def _publish_forever(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.metrics.interval_seconds)
+            self._publish()
+
+    def _publish(self) -> None:
+        if self._statsd is None:
+            return
+        budget = self._measurer.budget
+        counters = {
+            **self.metrics.counters(),
+            "measure.requests": budget.spent,
+            "measure.bytes": budget.bytes_spent,
+            "measure.ms": budget.seconds_spent * 1000.0,
+            "gossip.exchanges": self._gossip.exchanges,
+            "gossip.failures": self._gossip.failures,
+            "pauses": self._guard.pauses,
+        }
+        gauges = {
+            "running": self.beside.gate.running,
+            "waiting": self.beside.gate.waiting,
+            "limit": self.beside.gate.limit,
+            "members": len(self._table),
+            "configuration.offset": self.state.offset,
+            "configuration.log_reachable": int(self._follower.log_reachable),
+            "keys": len(self._register),
+        }
+        self._statsd.publish(counters, gauges)
+
+    async def _start_operators(self) -> None:
+        service = OperatorService(self._desk, self.state, self._table, self._status)
+        self._operators = Server([service])
+        try:
+            listening = socket.create_server(self._operators_address)
+        except OSError as error:
+            detail = f"{format_address(self._operators_address)}: {error.strerror}"
+            raise HoisthookError(ResultCode.PORT_UNAVAILABLE, detail) from error
+        self._operators_address = listening.getsockname()[:2]
+        await self._operators.start(sock=listening)
+
+    async def _close_operators(self) -> None:
+        if self._operators is not None:
+            self._operators.close()
+            await self._operators.wait_closed()
+
+    def _status(self) -> pb.NodeStatusReply:
+        budget = self._measurer.budget
+        return pb.NodeStatusReply(
+            node=self._settings.node.id,
+            incarnation=self.incarnation,
+            configuration_offset=self.state.offset,
+            members=len(self._table),
+            log_reachable=self._follower.log_reachable,
+            backend_server=self.beside.backend_server,
+            backend_server_phase=self.beside.state.phase.value,
+            running=self.beside.gate.running,
+            waiting=self.beside.gate.waiting,
+            limit=self.beside.gate.limit,
+            measure_requests=budget.spent,
+            measure_bytes=budget.bytes_spent,
+            measure_seconds=budget.seconds_spent,
+            keys=len(self._register),
+            pauses=self._guard.pauses,
+        )
--- /dev/null
+++ b/src/hoisthook/result_code.py
@@ -0,0 +1,238 @@
+"""Numbered result codes: every refusal, failure and settings error has one."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Ran(Enum):
+    """Whether the backend server ran the request, as far as hoisthook can know."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class CodeEntry:
+    """What one result code means.
+
+    Attributes
+    ----------
+    number : int
+        The stable number that callers and logs see.
+    http_status : int
+        Status of the answer to a caller; 0 where no HTTP answer carries the code.
+    ran : Ran
+        What the code says about the request.
+    meaning : str
+        One sentence for the table in the docs.
+    action : str
+        What the caller or operator does next.
+    """
+
+    number: int
+    http_status: int
+    ran: Ran
+    meaning: str
+    action: str
+
+
+class ResultCode(Enum):
+    """All result codes; ``value`` is the entry of the published table."""
+
+    OK = CodeEntry(0, 200, Ran.RAN, "The backend server's own answer follows.", "Use the answer.")
+
+    SERVICE_UNNAMED = CodeEntry(
+        1001, 400, Ran.NOT_RUN, "The request names no service.", "Set hoisthook-service."
+    )
+    SERVICE_UNKNOWN = CodeEntry(
+        1002, 404, Ran.NOT_RUN, "No such service is configured.", "Correct the name or create it."
+    )
+    REQUEST_MALFORMED = CodeEntry(
+        1003, 400, Ran.NOT_RUN, "The request is not valid HTTP/1.1.", "Correct the request."
+    )
+    REQUEST_TOO_LARGE = CodeEntry(
+        1004, 431, Ran.NOT_RUN, "The request's head exceeds its bound.", "Send fewer headers."
+    )
+    TIMEOUT_INVALID = CodeEntry(
+        1005,
+        400,
+        Ran.NOT_RUN,
+        "hoisthook-timeout-ms is not a positive number.",
+        "Correct the header.",
+    )
+    KEY_REQUIRED = CodeEntry(
+        1006,
+        428,
+        Ran.NOT_RUN,
+        "A non-repeatable request needs an Idempotency-Key issued by a node.",
+        "Send again with the key in this answer's hoisthook-issued-key.",
+    )
+    KEY_MALFORMED = CodeEntry(
+        1007,
+        428,
+        Ran.NOT_RUN,
+        "The Idempotency-Key was not issued by a node for this service.",
+        "Send again with the key in this answer's hoisthook-issued-key.",
+    )
+    KEY_EXPIRED = CodeEntry(
+        1008,
+        410,
+        Ran.UNKNOWN,
+        "The key's lifetime is over; an earlier send may have run, this one did not.",
+        "Check the outcome in the application.",
+    )
+    KEY_MISUSED = CodeEntry(
+        1009,
+        422,
+        Ran.NOT_RUN,
+        "The key was used before with another request.",
+        "Ask for a new key for a new request.",
+    )
+    REQUEST_TIMEOUT = CodeEntry(
+        1010, 408, Ran.NOT_RUN, "The request did not arrive in time.", "Send faster."
+    )
+    PATH_RESERVED = CodeEntry(
+        1011, 404, Ran.NOT_RUN, "No such control path.", "Paths below /hoisthook/ are reserved."
+    )
+
+    OVERLOADED = CodeEntry(
+        2001, 503, Ran.NOT_RUN, "Every backend server tried is full.", "Come back as told."
+    )
+    NO_BACKEND_SERVER = CodeEntry(
+        2002, 503, Ran.NOT_RUN, "No backend server of the service is known.", "Come back as told."
+    )
+    BACKEND_SERVER_DRAINING = CodeEntry(
+        2003, 503, Ran.NOT_RUN, "The backend server takes no new work.", "Another is tried."
+    )
+    DEADLINE_PASSED = CodeEntry(
+        2004, 504, Ran.NOT_RUN, "The deadline passed before the request was sent.", "Send again."
+    )
+    CALLER_OVER_SHARE = CodeEntry(
+        2005, 429, Ran.NOT_RUN, "The caller holds its fair share already.", "Come back as told."
+    )
+    SLOTS_FULL = CodeEntry(
+        2006, 503, Ran.NOT_RUN, "The backend server's slots are taken.", "Another is tried."
+    )
+    BACKEND_SERVER_EJECTED = CodeEntry(
+        2007, 503, Ran.NOT_RUN, "The backend server fails or stalls.", "Another is tried."
+    )
+    INCARNATION_MISMATCH = CodeEntry(
+        2008, 503, Ran.NOT_RUN, "The node addressed was replaced.", "Another is tried."
+    )
+    NODE_STOPPING = CodeEntry(
+        2009, 503, Ran.NOT_RUN, "The node is shutting down.", "Use another node."
+    )
+    NODE_RESUMING = CodeEntry(
+        2010, 503, Ran.NOT_RUN, "The node was paused and brings itself up to date.", "Try again."
+    )
+    ATTEMPT_REPLAYED = CodeEntry(
+        2011, 503, Ran.UNKNOWN, "The same attempt arrived twice.", "The first copy decides."
+    )
+    UNREACHABLE = CodeEntry(
+        2012, 503, Ran.NOT_RUN, "No connection could be opened.", "Another is tried."
+    )
+    KEYS_FULL = CodeEntry(
+        2013, 503, Ran.NOT_RUN, "The node holds as many keys as it may.", "Come back as told."
+    )
+    CONFIGURATION_MISSING = CodeEntry(
+        2014, 503, Ran.NOT_RUN, "The node has no configuration yet.", "Come back as told."
+    )
+    BACKEND_SERVER_SHED = CodeEntry(
+        2015, 503, Ran.NOT_RUN, "The backend server shed the request.", "Another is tried."
+    )
+
+    ANSWER_LOST = CodeEntry(
+        3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
+    )
+    DEADLINE_DURING_RUN = CodeEntry(
+        3002, 504, Ran.UNKNOWN, "The deadline passed while it ran.", "Repeat with the same key."
+    )
+    HOLDER_GONE = CodeEntry(
+        3003,
+        409,
+        Ran.UNKNOWN,
+        "The node that remembers this key is gone.",
+        "Check the outcome in the application.",
+    )
+    KEY_IN_PROGRESS = CodeEntry(
+        3004, 409, Ran.UNKNOWN, "The first send with this key still runs.", "Come back as told."
+    )
+    ANSWER_NOT_KEPT = CodeEntry(
+        3005, 409, Ran.RAN, "It ran once; its answer is no longer held.", "Do not send it again."
+    )
+    OUTCOME_UNKNOWN = CodeEntry(
+        3006,
+        409,
+        Ran.UNKNOWN,
+        "An earlier send with this key was lost on the way; this one did not run.",
+        "Check the outcome in the application.",
+    )
+    ANSWER_UNFRAMED = CodeEntry(
+        3007,
+        502,
+        Ran.UNKNOWN,
+        "The backend server's answer states no length, so its end cannot be proved.",
+        "Let the backend server send Content-Length or chunks.",
+    )
+    HOLDER_UNREACHABLE = CodeEntry(
+        3008,
+        503,
+        Ran.UNKNOWN,
+        "The node that remembers this key does not answer.",
+        "Repeat with the same key as told.",
+    )
+
+    REVISION_CONFLICT = CodeEntry(
+        4001, 0, Ran.NOT_RUN, "Another change won.", "Read the winner's revision and decide anew."
+    )
+    LOG_UNAVAILABLE = CodeEntry(
+        4002, 0, Ran.NOT_RUN, "The log took no record; nothing changed.", "Repeat later."
+    )
+    APPEND_UNKNOWN = CodeEntry(
+        4003, 0, Ran.UNKNOWN, "The log's answer was lost.", "Repeat with the same operation id."
+    )
+    SPEC_INVALID = CodeEntry(
+        4004, 0, Ran.NOT_RUN, "The change breaks a rule.", "Correct the field named."
+    )
+    OPERATION_ID_REUSED = CodeEntry(
+        4005, 0, Ran.NOT_RUN, "The operation id belongs to another change.", "Use a new id."
+    )
+    RECORD_UNREADABLE = CodeEntry(
+        4006, 0, Ran.NOT_RUN, "A log record cannot be read; it is passed over.", "See operations."
+    )
+    NOT_FOUND = CodeEntry(4007, 0, Ran.NOT_RUN, "No such service or backend server.", "Check it.")
+
+    SETTINGS_UNREADABLE = CodeEntry(
+        5001, 0, Ran.NOT_RUN, "The settings file cannot be read.", "Check path and permissions."
+    )
+    SETTINGS_SYNTAX = CodeEntry(
+        5002, 0, Ran.NOT_RUN, "The settings file is not valid TOML.", "Correct the line named."
+    )
+    SETTINGS_INVALID = CodeEntry(
+        5003, 0, Ran.NOT_RUN, "A key is unknown, missing or of the wrong type.", "Correct the key."
+    )
+    SETTINGS_VALUE = CodeEntry(
+        5004, 0, Ran.NOT_RUN, "A value breaks its rule.", "Correct the value named."
+    )
+    PORT_UNAVAILABLE = CodeEntry(
+        5005, 0, Ran.NOT_RUN, "A listening address cannot be opened.", "Free or change it."
+    )
+    OPERATOR_CALL_FAILED = CodeEntry(
+        5006, 0, Ran.UNKNOWN, "The operators' call got no answer.", "Repeat with the same id."
+    )
+
+    @property
+    def number(self) -> int:
+        """Return the stable number."""
+        return self.value.number
+
+    @property
+    def ran(self) -> Ran:
+        """Return what the code says about the request."""
+        return self.value.ran
+
+
+BY_NUMBER = {code.number: code for code in ResultCode}
--- /dev/null
+++ b/src/hoisthook/retry/__init__.py
@@ -0,0 +1,3 @@
+"""Budgets for retries and hedging."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/routing/__init__.py
@@ -0,0 +1,3 @@
+"""The entry's choice of a backend server."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/rpc/spec_codec.py
@@ -0,0 +1,36 @@
+"""Service specifications to and from the operators' messages."""
+
+from __future__ import annotations
+
+from hoisthook.configuration.service_spec import OperationSpec
+from hoisthook.configuration.service_spec import ServiceSpec
+from hoisthook.rpc import operator_pb2 as pb
+
+_OPTIONAL_FIELDS = (
+    "timeout_ms",
+    "concurrency_limit",
+    "concurrency_per_backend_server",
+    "queue_per_backend_server",
+    "retry_percent",
+    "hedge",
+    "measure_per_second",
+)
+
+
+def spec_from_message(message: pb.Service) -> ServiceSpec:
+    """Return the specification; fields left out get their defaults."""
+    operations = tuple(
+        OperationSpec(o.method, o.path_prefix, o.repeatable) for o in message.operations
+    )
+    given = {name: getattr(message, name) for name in _OPTIONAL_FIELDS if message.HasField(name)}
+    return ServiceSpec(message.name, operations, **given)
+
+
+def spec_to_message(spec: ServiceSpec) -> pb.Service:
+    """Return the message, every field set."""
+    operations = [
+        pb.Operation(method=o.method, path_prefix=o.path_prefix, repeatable=o.repeatable)
+        for o in spec.operations
+    ]
+    values = {name: getattr(spec, name) for name in _OPTIONAL_FIELDS}
+    return pb.Service(name=spec.name, operations=operations, **values)
--- /dev/null
+++ b/standin/deployment.py
@@ -0,0 +1,48 @@
+"""The two deployments of the users, in small."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hoisthook.configuration.service_spec import OperationSpec
+from hoisthook.configuration.service_spec import ServiceSpec
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Data centres and services with the number of their backend servers."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    count_by_service: dict[str, int]
+    slots: int
+
+    def specs(self) -> list[ServiceSpec]:
+        """Return the services' specifications."""
+        balance = OperationSpec("POST", "/search", repeatable=True)
+        return [ServiceSpec(name, (balance,)) for name in self.count_by_service]
+
+
+TERANGA = Deployment(
+    name="teranga",
+    data_centres=("kaolack", "fatick", "kaffrine"),
+    count_by_service={
+        "subscriber-accounts": 4,
+        "airtime-top-up": 3,
+        "antenna-registry": 3,
+        "coverage-and-towers": 3,
+    },
+    slots=12,
+)
+SEVA = Deployment(
+    name="seva",
+    data_centres=("salt-lake-hall", "howrah-hall", "barasat-hall"),
+    count_by_service={
+        "roster-viewer": 4,
+        "duty-sign-on": 3,
+        "pass-issuing": 3,
+        "emergency-callout": 3,
+    },
+    slots=6,
+)
+BY_NAME = {deployment.name: deployment for deployment in (TERANGA, SEVA)}
