--- a/src/hoisthook/adapter/http/asgi_bridge.py
+++ b/src/hoisthook/adapter/http/asgi_bridge.py
@@ -7,6 +7,7 @@
 
 from hoisthook.exceptions import BrokenExchangeError
 
+
 if TYPE_CHECKING:
     from starlette.types import ASGIApp
 
--- a/src/hoisthook/adapter/http/body_stream.py
+++ b/src/hoisthook/adapter/http/body_stream.py
@@ -9,6 +9,7 @@
 
 from hoisthook.exceptions import BrokenExchangeError
 
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -12,6 +12,7 @@
 from hoisthook.adapter.http.message import Header
 from hoisthook.exceptions import BrokenExchangeError
 
+
 MAX_HEAD_BYTES = 64 * 1024
 
 
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -16,6 +16,7 @@
 from hoisthook.adapter.http.server_exchange import ServerExchange
 from hoisthook.result_code import ResultCode
 
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -53,7 +54,6 @@
         self._loop = asyncio.get_running_loop()
         self._queue: deque[ServerExchange] = deque()
         self._incoming: ServerExchange | None = None
-        self._task: asyncio.Task[None] | None = None
         self._target = b""
         self._headers: list[Header] = []
         self._head_bytes = 0
@@ -152,7 +152,7 @@
         self._incoming = exchange
         self._queue.append(exchange)
         if len(self._queue) == 1:
-            self._loop.call_soon(self._start_next)
+            self._start_next()
         elif len(self._queue) > MAX_PIPELINED:
             self.pause_body()
 
@@ -211,10 +211,10 @@
 
     def _start_next(self) -> None:
         if self._queue and not self.lost:
-            self._task = self._loop.create_task(self._serve(self._queue[0]))
+            exchange = self._queue[0]
+            exchange.task = self._loop.create_task(self._serve(exchange))
 
     async def _serve(self, exchange: ServerExchange) -> None:
-        exchange.task = self._task
         try:
             await self._owner.handler(exchange)
         except asyncio.CancelledError:
--- a/src/hoisthook/adapter/json_log.py
+++ b/src/hoisthook/adapter/json_log.py
@@ -10,6 +10,7 @@
 import logbook
 import msgspec
 
+
 if TYPE_CHECKING:
     from hoisthook.node.call import Call
     from hoisthook.node.dispatcher import Dispatched
--- a/src/hoisthook/admission/service_time.py
+++ b/src/hoisthook/admission/service_time.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+
 WARM_COUNT = 20
 SMOOTHING = 0.05
 OUTLIER_FACTOR = 4.0
--- a/src/hoisthook/admission/slot_gate.py
+++ b/src/hoisthook/admission/slot_gate.py
@@ -4,12 +4,14 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from hoisthook.admission.fair_queue import FairQueue
 from hoisthook.admission.service_time import ServiceTime
 from hoisthook.result_code import ResultCode
 
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -131,15 +133,9 @@
             return False
         bound = max(STALL_FLOOR_SECONDS, STALL_FACTOR * self.service_time.typical)
         needed = max(STALL_MINIMUM, int(running * STALL_SHARE))
-        late = 0
-        # Tickets are kept in order of start, so the first young one ends the count.
-        for ticket in self._running:
-            if now - ticket.started <= bound:
-                return False
-            late += 1
-            if late >= needed:
-                return True
-        return False
+        # Tickets are kept in order of start, so the oldest come first.
+        oldest = islice(self._running, needed)
+        return all(now - ticket.started > bound for ticket in oldest)
 
     def refuse_waiting(self) -> list[Ticket]:
         """Empty the queue and return the tickets that waited."""
--- a/src/hoisthook/configuration/change.py
+++ b/src/hoisthook/configuration/change.py
@@ -6,6 +6,7 @@
 
 from hoisthook.configuration.service_spec import ServiceSpec
 
+
 RECORD_VERSION = 1
 
 
--- a/src/hoisthook/configuration/configuration_follower.py
+++ b/src/hoisthook/configuration/configuration_follower.py
@@ -12,6 +12,7 @@
 from hoisthook.exceptions import HoisthookError
 from hoisthook.port.peer_transport import ConfigurationPage
 
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -88,7 +89,7 @@
             try:
                 if self.is_reader() or not self._state.loaded:
                     await self.read_log(wait=WAIT_SECONDS)
-                    await self._keep_snapshot()
+                    await self.keep_snapshot()
                 else:
                     await asyncio.sleep(WAIT_SECONDS)
             except HoisthookError:
@@ -183,7 +184,7 @@
         if page.records:
             self._snapshot_position = page.records[-1].offset + 1
 
-    async def _keep_snapshot(self) -> None:
+    async def keep_snapshot(self) -> None:
         """Write the state back to the log before the records behind it expire."""
         if not self._state.loaded or not self._snapshot_due():
             return
--- a/src/hoisthook/console/commands/check.py
+++ b/src/hoisthook/console/commands/check.py
@@ -8,6 +8,7 @@
 
 from hoisthook.settings.settings_file import load_settings
 
+
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/drain.py
+++ b/src/hoisthook/console/commands/drain.py
@@ -10,6 +10,7 @@
 from hoisthook.console.operator_call import print_reply
 from hoisthook.rpc import operator_pb2 as pb
 
+
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/identity.py
+++ b/src/hoisthook/identity.py
@@ -5,6 +5,7 @@
 import re
 from typing import NewType
 
+
 NodeId = NewType("NodeId", str)
 Incarnation = NewType("Incarnation", str)
 ServiceName = NewType("ServiceName", str)
--- a/src/hoisthook/measure/measurer.py
+++ b/src/hoisthook/measure/measurer.py
@@ -11,6 +11,7 @@
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnreachableError
 
+
 if TYPE_CHECKING:
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
--- a/src/hoisthook/membership/gossip.py
+++ b/src/hoisthook/membership/gossip.py
@@ -9,6 +9,7 @@
 from hoisthook.membership.member import Exchange
 from hoisthook.membership.member import MemberStatus
 
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -62,7 +63,7 @@
         seeds: list[Address],
         interval: float,
     ) -> None:
-        self._table = table
+        self.table = table
         self._transport = transport
         self._clock = clock
         self._randomness = randomness
@@ -84,8 +85,8 @@
     async def round(self) -> None:
         """Exchange once with one peer."""
         self._rounds += 1
-        self._table.expire(self._clock.now())
-        peer = self._table.choose_peer()
+        self.table.expire(self._clock.now())
+        peer = self.table.choose_peer()
         seed = self._choose_seed(peer)
         if seed is not None:
             await self._exchange_with(seed, None)
@@ -94,14 +95,14 @@
 
     async def leave(self) -> None:
         """Tell a few peers that this node leaves."""
-        self._table.update_me(self._clock.now(), status=MemberStatus.LEFT, takes_work=False)
+        self.table.update_me(self._clock.now(), status=MemberStatus.LEFT, takes_work=False)
         await self.announce()
 
     async def announce(self) -> None:
         """Tell several peers at once, without waiting for the next round."""
         peers: dict[str, Member] = {}
         for _ in range(FAREWELL_PEERS):
-            peer = self._table.choose_peer()
+            peer = self.table.choose_peer()
             if peer is not None:
                 peers[peer.node] = peer
         calls = [self._exchange_with(parse_address(p.address), p) for p in peers.values()]
@@ -126,7 +127,7 @@
             self._merge(answer)
             if self._wants_sync(answer):
                 for member in await self._transport.members(address):
-                    self._table.merge(member, self._clock.now())
+                    self.table.merge(member, self._clock.now())
             if self.on_peer_offset is not None:
                 await self.on_peer_offset(address, answer.configuration_offset)
             if self.on_contact is not None:
@@ -134,23 +135,23 @@
         except (OSError, TimeoutError):
             self.failures += 1
             if peer is not None:
-                self._table.suspect(peer.node, self._clock.now())
+                self.table.suspect(peer.node, self._clock.now())
 
     def _wants_sync(self, answer: Exchange) -> bool:
-        if answer.table_digest == self._table.digest:
+        if answer.table_digest == self.table.digest:
             return False
         return self._rounds <= JOIN_ROUNDS or self._randomness.random() < RECONCILE_SHARE
 
     def _message(self) -> Exchange:
         return Exchange(
-            sender=self._table.me,
-            members=self._table.take_news(),
+            sender=self.table.me,
+            members=self.table.take_news(),
             configuration_offset=self.configuration_offset(),
-            table_digest=self._table.digest,
+            table_digest=self.table.digest,
         )
 
     def _merge(self, message: Exchange) -> None:
         now = self._clock.now()
-        self._table.merge(message.sender, now)
+        self.table.merge(message.sender, now)
         for member in message.members:
-            self._table.merge(member, now)
+            self.table.merge(member, now)
--- a/src/hoisthook/membership/member_table.py
+++ b/src/hoisthook/membership/member_table.py
@@ -11,6 +11,7 @@
 from hoisthook.membership.member import Member
 from hoisthook.membership.member import MemberStatus
 
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -45,6 +46,7 @@
         self._news: deque[tuple[str, int]] = deque()
         self._digest = 0
         self._add_digest(me)
+        self._list(me)
         self._tell(me.node)
 
     def __len__(self) -> int:
@@ -149,7 +151,7 @@
 
     def _refute(self, member: Member, now: float) -> bool:
         mine = self._me
-        doubted = member.status is not MemberStatus.ALIVE
+        doubted = member.status is not MemberStatus.ALIVE or member.incarnation != mine.incarnation
         if member.version < mine.version or (member.version == mine.version and not doubted):
             return False
         if mine.status is MemberStatus.LEFT:
--- a/src/hoisthook/membership/pause_guard.py
+++ b/src/hoisthook/membership/pause_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+
 TICK_SECONDS = 0.1
 PAUSE_SECONDS = 1.0
 ALONE_SECONDS = 3.0
--- a/src/hoisthook/membership/reader_choice.py
+++ b/src/hoisthook/membership/reader_choice.py
@@ -8,6 +8,7 @@
 
 from hoisthook.membership.member import MemberStatus
 
+
 if TYPE_CHECKING:
     from hoisthook.membership.member_table import MemberTable
 
--- a/src/hoisthook/node/hop_server.py
+++ b/src/hoisthook/node/hop_server.py
@@ -10,7 +10,6 @@
 from hoisthook.identity import CallerId
 from hoisthook.identity import RequestId
 from hoisthook.node import wire
-from hoisthook.node.answer import Answer
 from hoisthook.node.attempt import Attempt
 from hoisthook.node.call import Call
 from hoisthook.node.call import Lost
@@ -21,12 +20,14 @@
 from hoisthook.node.request_body import read_body
 from hoisthook.result_code import ResultCode
 
+
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.configuration.configuration_state import ConfigurationState
     from hoisthook.identity import Incarnation
     from hoisthook.membership.pause_guard import PauseGuard
+    from hoisthook.node.answer import Answer
     from hoisthook.node.beside import Beside
     from hoisthook.port.clock import Clock
     from hoisthook.port.decision_log import DecisionLog
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -51,6 +51,7 @@
 from hoisthook.routing.router import Router
 from hoisthook.rpc import operator_pb2 as pb
 
+
 if TYPE_CHECKING:
     from hoisthook.adapter.control_app import Announcement
     from hoisthook.adapter.http.server_exchange import ServerExchange
@@ -107,7 +108,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._announcing: set[asyncio.Task[None]] = set()
         self.state = ConfigurationState()
-        self._guard = PauseGuard(clock.now())
+        self.guard = PauseGuard(clock.now())
         self._share = ConcurrencyShare(settings.node.id)
         self._hop_pool = ClientPool()
         self._backend_pool = ClientPool()
@@ -149,15 +150,15 @@
         await self._peer_server.start()
         await self._announcements.start()
         await self._start_operators()
-        self._table.update_me(self._clock.now(), address=format_address(self.peers_address))
+        self.table.update_me(self._clock.now(), address=format_address(self.peers_address))
         loop = asyncio.get_running_loop()
         runs = [
             self._tick_forever(),
             self._housekeep_forever(),
             self._publish_forever(),
             self._flush_forever(),
-            self._gossip.run(),
-            self._follower.run(),
+            self.gossip.run(),
+            self.follower.run(),
             self._measurer.run(),
         ]
         self._tasks = [loop.create_task(run) for run in runs]
@@ -178,7 +179,7 @@
         bool
             Whether every request in progress ended by itself.
         """
-        await self._gossip.leave()
+        await self.gossip.leave()
         await asyncio.sleep(FAREWELL_SECONDS)
         self._entry.stopping = True
         self._hop_server.stopping = True
@@ -218,19 +219,19 @@
             address=self._settings.listen.peers,
             data_centre=self._settings.node.data_centre,
         )
-        self._table = MemberTable(me, self._randomness)
-        self._gossip = Gossip(
-            self._table,
+        self.table = MemberTable(me, self._randomness)
+        self.gossip = Gossip(
+            self.table,
             self._peers,
             self._clock,
             self._randomness,
             seeds=[parse_address(seed) for seed in self._settings.peers.seeds],
             interval=self._settings.peers.interval_seconds,
         )
-        self._gossip.on_contact = self._guard.contacted
+        self.gossip.on_contact = self.guard.contacted
 
     def _make_configuration(self) -> None:
-        self._follower = ConfigurationFollower(
+        self.follower = ConfigurationFollower(
             self.state,
             self._log,
             self._peers,
@@ -239,12 +240,12 @@
             retention=self._settings.log.retention_seconds,
         )
         readers = self._settings.log.readers_per_data_centre
-        self._follower.is_reader = lambda: is_reader(self._table, readers)
-        self._follower.on_contact = self._guard.contacted
-        self._follower.on_change = self._configuration_changed
-        self._gossip.configuration_offset = lambda: self.state.offset
-        self._gossip.on_peer_offset = self._follower.peer_offset
-        self._desk = ConfigurationDesk(self.state, self._follower, self._log)
+        self.follower.is_reader = lambda: is_reader(self.table, readers)
+        self.follower.on_contact = self.guard.contacted
+        self.follower.on_change = self._configuration_changed
+        self.gossip.configuration_offset = lambda: self.state.offset
+        self.gossip.on_peer_offset = self.follower.peer_offset
+        self._desk = ConfigurationDesk(self.state, self.follower, self._log)
 
     def _make_path(self) -> None:
         routing = self._settings.routing
@@ -256,30 +257,28 @@
         self._measurer = Measurer(
             self.beside, self._backend_pool, MeasureBudget(0.0, self._clock.now()), self._clock
         )
-        self._router = Router(self._table, make_policy(routing.policy, self._randomness))
+        self._router = Router(self.table, make_policy(routing.policy, self._randomness))
         client = HopClient(self._hop_pool, self.beside, self._clock, self.incarnation)
         self._dispatcher = Dispatcher(
-            self._router, client, self._table, self._clock, hedging=is_product
+            self._router, client, self.table, self._clock, hedging=is_product
         )
         node = NodeId(self._settings.node.id)
-        self._register = KeyRegister(node, self.incarnation, self._clock, self._randomness)
-        self._key_desk = KeyDesk(
-            self._register, self.state, self._table, self._hop_pool, self._clock
-        )
+        self.register = KeyRegister(node, self.incarnation, self._clock, self._randomness)
+        self._key_desk = KeyDesk(self.register, self.state, self.table, self._hop_pool, self._clock)
         self.metrics = NodeMetrics(self._decisions)
         self._entry = Entry(
             self._dispatcher,
             self._key_desk,
             self.state,
-            self._guard,
+            self.guard,
             self._clock,
             self.incarnation,
             self.metrics,
         )
         self._hop_server = HopServer(
-            self.beside, self.state, self._guard, self._clock, self.incarnation, self.metrics
+            self.beside, self.state, self.guard, self._clock, self.incarnation, self.metrics
         )
-        self._peer_app = make_peer_app(self._gossip, self._table, self._follower)
+        self._peer_app = make_peer_app(self.gossip, self.table, self.follower)
         self._announcement_app = make_announcement_app(self._announced, self._announcement_status)
 
     async def _serve_caller(self, exchange: ServerExchange) -> None:
@@ -326,12 +325,12 @@
 
     def _say_what_changed(self) -> None:
         beside = self.beside
-        me = self._table.me
+        me = self.table.me
         takes_work = beside.takes_work()
         told = (me.backend_server, me.service, me.slots, me.takes_work)
         if told == (beside.backend_server, beside.service, beside.gate.slots, takes_work):
             return
-        self._table.update_me(
+        self.table.update_me(
             self._clock.now(),
             backend_server=beside.backend_server,
             service=beside.service,
@@ -345,26 +344,26 @@
             phase=beside.state.phase.value,
             takes_work=takes_work,
         )
-        task = asyncio.get_running_loop().create_task(self._gossip.announce())
+        task = asyncio.get_running_loop().create_task(self.gossip.announce())
         self._announcing.add(task)
         task.add_done_callback(self._announcing.discard)
 
     async def _tick_forever(self) -> None:
         while True:
             now = self._clock.now()
-            pauses = self._guard.pauses
-            self._guard.check(now)
-            if self._guard.pauses != pauses:
+            pauses = self.guard.pauses
+            self.guard.check(now)
+            if self.guard.pauses != pauses:
                 self._decisions.event("paused")
             self.beside.tick()
-            self._share.observe(self._table.serving(self.beside.service), now)
+            self._share.observe(self.table.serving(self.beside.service), now)
             self._say_what_changed()
             await asyncio.sleep(TICK_SECONDS)
 
     async def _housekeep_forever(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
-            self._register.expire()
+            self.register.expire()
             self._hop_pool.drop_idle()
             self._backend_pool.drop_idle()
             self._router.forget_gone()
@@ -389,23 +388,23 @@
             "measure.requests": budget.spent,
             "measure.bytes": budget.bytes_spent,
             "measure.ms": budget.seconds_spent * 1000.0,
-            "gossip.exchanges": self._gossip.exchanges,
-            "gossip.failures": self._gossip.failures,
-            "pauses": self._guard.pauses,
+            "gossip.exchanges": self.gossip.exchanges,
+            "gossip.failures": self.gossip.failures,
+            "pauses": self.guard.pauses,
         }
         gauges = {
             "running": self.beside.gate.running,
             "waiting": self.beside.gate.waiting,
             "limit": self.beside.gate.limit,
-            "members": len(self._table),
+            "members": len(self.table),
             "configuration.offset": self.state.offset,
-            "configuration.log_reachable": int(self._follower.log_reachable),
-            "keys": len(self._register),
+            "configuration.log_reachable": int(self.follower.log_reachable),
+            "keys": len(self.register),
         }
         self._statsd.publish(counters, gauges)
 
     async def _start_operators(self) -> None:
-        service = OperatorService(self._desk, self.state, self._table, self._status)
+        service = OperatorService(self._desk, self.state, self.table, self._status)
         self._operators = Server([service])
         try:
             listening = socket.create_server(self._operators_address)
@@ -426,8 +425,8 @@
             node=self._settings.node.id,
             incarnation=self.incarnation,
             configuration_offset=self.state.offset,
-            members=len(self._table),
-            log_reachable=self._follower.log_reachable,
+            members=len(self.table),
+            log_reachable=self.follower.log_reachable,
             backend_server=self.beside.backend_server,
             backend_server_phase=self.beside.state.phase.value,
             running=self.beside.gate.running,
@@ -436,6 +435,6 @@
             measure_requests=budget.spent,
             measure_bytes=budget.bytes_spent,
             measure_seconds=budget.seconds_spent,
-            keys=len(self._register),
-            pauses=self._guard.pauses,
+            keys=len(self.register),
+            pauses=self.guard.pauses,
         )
--- a/src/hoisthook/retry/hedge_timer.py
+++ b/src/hoisthook/retry/hedge_timer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+
 QUANTILE = 0.97
 START_SECONDS = 0.05
 MIN_SECONDS = 0.002
--- a/src/hoisthook/retry/retry_budget.py
+++ b/src/hoisthook/retry/retry_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+
 MAX_SAVED = 10.0
 START_SAVED = 1.0
 
--- a/src/hoisthook/routing/router.py
+++ b/src/hoisthook/routing/router.py
@@ -8,6 +8,7 @@
 from hoisthook.routing.candidate import Candidate
 from hoisthook.routing.load_view import LoadView
 
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
--- a/standin/backend_server.py
+++ b/standin/backend_server.py
@@ -21,6 +21,7 @@
 import msgspec
 import uvicorn
 
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -10,8 +10,10 @@
 import tempfile
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import aiohttp
 from grpclib.client import Channel
@@ -20,6 +22,7 @@
 from hoisthook.rpc.operator_grpc import OperatorStub
 from hoisthook.rpc.spec_codec import spec_to_message
 
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
@@ -27,6 +30,8 @@
     from hoisthook.configuration.service_spec import ServiceSpec
     from standin.deployment import Deployment
 
+T = TypeVar("T")
+
 READY_SECONDS = 60.0
 POLL_SECONDS = 0.05
 PORTS_PER_KIND = 100
@@ -166,7 +171,7 @@
             known = len(services.entries) >= len(self.deployment.count_by_service)
             return len(ready) >= count and known
 
-        await asyncio.gather(*(wait_until(lambda p=place: knows_all(p)) for place in self.places))
+        await asyncio.gather(*(wait_until(partial(knows_all, place)) for place in self.places))
 
     async def log_faults(self, **faults: object) -> None:
         """Set the log stand-in's faults."""
@@ -284,9 +289,7 @@
             await asyncio.sleep(POLL_SECONDS)
 
 
-async def operator_call(
-    port: int, method: Callable[[OperatorStub], Awaitable[pb.ChangeReply]]
-) -> pb.ChangeReply:
+async def operator_call(port: int, method: Callable[[OperatorStub], Awaitable[T]]) -> T:
     """Make one operators' call."""
     channel = Channel("127.0.0.1", port)
     try:
--- a/standin/run.py
+++ b/standin/run.py
@@ -15,6 +15,7 @@
 from standin.deployment import SEVA
 from standin.deployment import TERANGA
 
+
 BASE_PORT = 7000
 
 
--- /dev/null
+++ b/tests/admission/test_backend_server_state.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+import random
+
+from hoisthook.admission.backend_server_state import BackendServerState
+from hoisthook.admission.backend_server_state import Phase
+
+
+def make(now: float = 0.0) -> BackendServerState:
+    state = BackendServerState(random.Random(1))
+    state.announced(now, draining=False)
+    return state
+
+
+def warm(now: float = 10.0) -> BackendServerState:
+    state = make(now - 5.0)
+    state.tick(now - 3.0)
+    state.announced(now, draining=False)
+    state.tick(now)
+    assert state.phase is Phase.ACTIVE
+    return state
+
+
+def test_cold_backend_server_is_ramped_up() -> None:
+    state = make()
+    assert state.phase is Phase.COLD
+    limits = [state.limit_of(12, now) for now in (0.0, 0.5, 1.0, 1.9)]
+    assert limits == sorted(limits)
+    assert limits[0] == 3
+    assert limits[-1] < 12
+
+
+def test_announcements_that_stop_end_new_work_within_three_seconds() -> None:
+    state = warm(10.0)
+    assert state.takes(12.9)
+    assert not state.takes(13.1)
+    assert state.phase is Phase.ABSENT
+
+
+def test_draining_takes_no_work_at_once() -> None:
+    state = warm()
+    state.announced(10.1, draining=True)
+    assert not state.takes(10.1)
+
+
+def test_drain_taken_back_starts_cold() -> None:
+    state = warm()
+    state.announced(10.1, draining=True)
+    state.announced(10.2, draining=False)
+    assert state.phase is Phase.COLD
+
+
+def test_failing_fast_is_ejected_and_speed_earns_nothing() -> None:
+    state = warm()
+    for _ in range(20):
+        state.answered(10.1, failed=True)
+    assert state.phase is Phase.EJECTED
+    assert not state.takes(10.2)
+
+
+def test_few_failures_are_no_reason_to_eject() -> None:
+    state = warm()
+    for number in range(100):
+        state.answered(10.1, failed=number % 5 == 0)
+    assert state.phase is Phase.ACTIVE
+
+
+def test_ejected_comes_back_by_a_trickle_and_recovers() -> None:
+    state = warm()
+    for _ in range(20):
+        state.answered(10.1, failed=True)
+    state.announced(11.5, draining=False)
+    taken = sum(state.takes(11.6) for _ in range(1000))
+    assert state.phase is Phase.PROBATION
+    assert 50 < taken < 200
+    for _ in range(5):
+        state.answered(11.7, failed=False)
+    assert state.phase is Phase.ACTIVE
+
+
+def test_each_failed_probation_doubles_the_wait() -> None:
+    state = warm()
+    for _ in range(20):
+        state.answered(10.0, failed=True)
+    state.announced(11.1, draining=False)
+    state.tick(11.1)
+    state.answered(11.2, failed=True)
+    state.announced(12.5, draining=False)
+    state.tick(12.5)
+    assert state.phase is Phase.EJECTED
+    state.tick(13.3)
+    assert state.phase is Phase.PROBATION
--- /dev/null
+++ b/tests/membership/test_gossip.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from hoisthook.membership.gossip import Gossip
+from hoisthook.membership.member import MemberStatus
+from hoisthook.membership.member_table import MemberTable
+from tests.fakes import FakeClock
+from tests.fakes import FakePeer
+from tests.fakes import FakePeers
+from tests.membership.test_member_table import member
+
+
+class Crowd:
+    """Nodes that gossip in memory, one round each at a time."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = FakeClock()
+        self.peer_by_address: dict[tuple[str, int], FakePeer] = {}
+        self.transports: list[FakePeers] = []
+        self.nodes: list[Gossip] = []
+        self.incarnations = 0
+        for number in range(count):
+            self.add(f"n{number}", 1 + number)
+
+    def add(self, name: str, port: int) -> Gossip:
+        transport = FakePeers(self.peer_by_address)
+        self.incarnations += 1
+        me = msgspec.structs.replace(
+            member(name), address=f"127.0.0.1:{port}", incarnation=f"i{self.incarnations}"
+        )
+        randomness = random.Random(port)
+        node = Gossip(
+            MemberTable(me, randomness),
+            transport,
+            self.clock,
+            randomness,
+            seeds=[("127.0.0.1", 1)],
+            interval=0.5,
+        )
+        self.peer_by_address["127.0.0.1", port] = FakePeer(node)
+        self.transports.append(transport)
+        self.nodes.append(node)
+        return node
+
+    async def rounds(self, count: int, *, without: tuple[int, ...] = ()) -> None:
+        for _ in range(count):
+            self.clock.advance(0.5)
+            for number, node in enumerate(self.nodes):
+                if number not in without:
+                    await node.round()
+
+    def cut(self, left: set[int], right: set[int]) -> None:
+        for number, transport in enumerate(self.transports):
+            side = right if number in left else left if number in right else set()
+            transport.cut = {("127.0.0.1", 1 + other) for other in side}
+
+    def known(self, number: int) -> set[str]:
+        return set(self.nodes[number].table.serving("svc"))
+
+
+@pytest.fixture
+def crowd() -> Crowd:
+    return Crowd(8)
+
+
+async def test_all_learn_of_all(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    assert all(len(crowd.known(number)) == 8 for number in range(8))
+
+
+async def test_drain_is_known_everywhere_within_three_seconds(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    crowd.nodes[3].table.update_me(crowd.clock.now(), takes_work=False)
+    await crowd.nodes[3].announce()
+    await crowd.rounds(6)
+    assert all("n3" not in crowd.known(number) for number in range(8))
+
+
+async def test_crashed_node_is_dead_everywhere(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    crowd.cut({5}, set(range(8)) - {5})
+    for transport in crowd.transports:
+        transport.cut.add(("127.0.0.1", 6))
+    await crowd.rounds(14, without=(5,))
+    others = [number for number in range(8) if number != 5]
+    assert all("n5" not in crowd.known(number) for number in others)
+
+
+async def test_parted_halves_find_each_other_again(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    left, right = set(range(4)), set(range(4, 8))
+    crowd.cut(left, right)
+    await crowd.rounds(20)
+    assert crowd.known(0) == {"n0", "n1", "n2", "n3"}
+    crowd.cut(set(), set())
+    await crowd.rounds(40)
+    assert all(len(crowd.known(number)) == 8 for number in range(8))
+
+
+async def test_woken_node_comes_back_by_refuting(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    for transport in crowd.transports:
+        transport.cut.add(("127.0.0.1", 3))
+    await crowd.rounds(14, without=(2,))
+    assert "n2" not in crowd.known(0)
+    for transport in crowd.transports:
+        transport.cut.clear()
+    await crowd.rounds(25)
+    assert all("n2" in crowd.known(number) for number in range(8))
+
+
+async def test_replaced_node_is_known_by_its_new_incarnation(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    crowd.nodes.pop(7)
+    replacement = crowd.add("n7", 8)
+    await crowd.rounds(10)
+    seen = {node.table.get("n7").incarnation for node in crowd.nodes}
+    assert seen == {replacement.table.me.incarnation}
+
+
+async def test_farewell_reaches_all(crowd: Crowd) -> None:
+    await crowd.rounds(8)
+    await crowd.nodes[4].leave()
+    await crowd.rounds(6, without=(4,))
+    others = [number for number in range(8) if number != 4]
+    assert all(crowd.nodes[n].table.get("n4").status is MemberStatus.LEFT for n in others)
--- a/tool/generate_rpc.py
+++ b/tool/generate_rpc.py
@@ -11,6 +11,7 @@
 import grpc_tools
 from grpc_tools import protoc
 
+
 PACKAGE = Path("src/hoisthook/rpc")
 
 
