Fault matrix over the path: every fault at every step, and a fault it found

Ruled out: the configuration's fold (the entry had it); the drain itself. Change: a node offers no work for a service it does not know, and says CONFIGURATION_MISSING, on which the entry tries elsewhere. The copy of a request between node and backend server is left out of the matrix: TCP makes none, and only the backend server could drop it; it gets the key.

--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -103,6 +103,12 @@
             return False
         return True
 
+    def abort(self) -> None:
+        """Close the socket and drop all connections at once, as a crash would."""
+        self.stop_listening()
+        for connection in list(self._connections):
+            connection.abort()
+
     def opened(self, connection: ServerConnection) -> None:
         """Count a connection in; drop it at once when there are too many."""
         if len(self._connections) >= MAX_CONNECTIONS:
--- a/src/hoisthook/node/beside.py
+++ b/src/hoisthook/node/beside.py
@@ -72,7 +72,7 @@
         self.foreign_load = 0
         self.share_of: Callable[[int], int] = lambda limit: limit
         self.operator_drain = False
-        self._announced_draining = False
+        self.draining_announced = False
         self.started = 0
         self.finished = 0
 
@@ -94,7 +94,7 @@
         self.service = service
         self.address = address
         self.gate.slots = slots
-        self._announced_draining = draining
+        self.draining_announced = draining
         self._announce()
         return True
 
@@ -107,7 +107,7 @@
             self._announce()
 
     def _announce(self) -> None:
-        draining = self._announced_draining or self.operator_drain
+        draining = self.draining_announced or self.operator_drain
         self.state.announced(self._clock.now(), draining=draining)
 
     def takes_work(self) -> bool:
--- a/src/hoisthook/node/dispatcher.py
+++ b/src/hoisthook/node/dispatcher.py
@@ -33,6 +33,7 @@
     {
         ResultCode.BACKEND_SERVER_DRAINING,
         ResultCode.BACKEND_SERVER_EJECTED,
+        ResultCode.CONFIGURATION_MISSING,
         ResultCode.INCARNATION_MISMATCH,
         ResultCode.NODE_STOPPING,
         ResultCode.NODE_RESUMING,
--- a/src/hoisthook/node/hop_server.py
+++ b/src/hoisthook/node/hop_server.py
@@ -120,7 +120,7 @@
         spec = self._configuration.service_by_name.get(own.get(wire.SERVICE, b"").decode("latin-1"))
         timeout = wire.parse_timeout_ms(own.get(wire.TIMEOUT_MS, b""))
         if spec is None:
-            return Refused(ResultCode.SERVICE_UNKNOWN, STOPPING_RETRY_SECONDS)
+            return Refused(ResultCode.CONFIGURATION_MISSING, RESUMING_RETRY_SECONDS)
         if timeout is None:
             return Refused(ResultCode.TIMEOUT_INVALID, 0.0)
         try:
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -200,6 +200,16 @@
             self._statsd.close()
         return all(ended)
 
+    async def abort(self) -> None:
+        """Drop everything at once, as a crash would."""
+        for task in [*self._tasks, *self._announcing]:
+            task.cancel()
+        for server in (self._callers, self._peer_server, self._announcements):
+            server.abort()
+        self._hop_pool.close()
+        self._backend_pool.close()
+        await self._close_operators()
+
     def _make_servers(self) -> None:
         listen = self._settings.listen
         self._callers = CallServer(parse_address(listen.callers), self._serve_caller)
@@ -279,7 +289,7 @@
             self.beside, self.state, self.guard, self._clock, self.incarnation, self.metrics
         )
         self._peer_app = make_peer_app(self.gossip, self.table, self.follower)
-        self._announcement_app = make_announcement_app(self._announced, self._announcement_status)
+        self._announcement_app = make_announcement_app(self.announced, self._announcement_status)
 
     async def _serve_caller(self, exchange: ServerExchange) -> None:
         await self._entry.handle(exchange)
@@ -301,7 +311,8 @@
     async def _serve_announcement(self, exchange: ServerExchange) -> None:
         await serve_asgi(self._announcement_app, exchange)
 
-    def _announced(self, message: Announcement) -> bool:
+    def announced(self, message: Announcement) -> bool:
+        """Take in an announcement; False if another backend server is here already."""
         taken = self.beside.announced(
             message.backend_server,
             message.service,
@@ -326,7 +337,8 @@
     def _say_what_changed(self) -> None:
         beside = self.beside
         me = self.table.me
-        takes_work = beside.takes_work()
+        # A node that does not know the service's limits yet cannot keep them.
+        takes_work = beside.takes_work() and beside.service in self.state.service_by_name
         told = (me.backend_server, me.service, me.slots, me.takes_work)
         if told == (beside.backend_server, beside.service, beside.gate.slots, takes_work):
             return
--- a/tests/measure/test_measure_budget.py
+++ b/tests/measure/test_measure_budget.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from itertools import pairwise
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -25,7 +27,7 @@
         for _ in range(50 if kind == "storm" else 1):
             if budget.take(now):
                 reads.append(now)
-    for earlier, later in zip(reads, reads[1:], strict=False):
+    for earlier, later in pairwise(reads):
         assert later - earlier >= 1.0 / rate - 1e-9
 
 
--- /dev/null
+++ b/tests/node/conftest.py
@@ -0,0 +1,29 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import pytest_asyncio
+
+from hoisthook.admission import backend_server_state
+from tests.node.harness import System
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+@pytest.fixture(autouse=True)
+def warm_backend_servers(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let backend servers have all their slots at once."""
+    monkeypatch.setattr(backend_server_state, "COLD_SECONDS", 0.001)
+
+
+@pytest_asyncio.fixture
+async def system(warm_backend_servers: None) -> AsyncIterator[System]:
+    system = System()
+    try:
+        await system.start()
+        yield system
+    finally:
+        await system.close()
--- /dev/null
+++ b/tests/node/harness.py
@@ -0,0 +1,450 @@
+"""Nodes, backend servers, a caller and faulty wires in one loop, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hoisthook.adapter.control_app import Announcement
+from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.adapter.http.message import encode_request_head
+from hoisthook.configuration.change import ChangeRecord
+from hoisthook.configuration.change import PutService
+from hoisthook.configuration.configuration_follower import CHANGES_STREAM
+from hoisthook.configuration.service_spec import ServiceSpec
+from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import UnreachableError
+from hoisthook.identity import format_address
+from hoisthook.identity import parse_address
+from hoisthook.node.loop_clock import LoopClock
+from hoisthook.node.node import Node
+from hoisthook.settings.settings_file import parse_settings
+from tests.fakes import FakeLog
+from tests.fakes import FakePeer
+from tests.fakes import FakePeers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.membership.member import Member
+
+SERVICE = "svc"
+TIMEOUT_MS = 400
+CALLER_SECONDS = 1.0
+
+SETTINGS = """
+[node]
+id = "{name}"
+data_centre = "dc"
+[listen]
+callers = "127.0.0.1:0"
+peers = "127.0.0.1:0"
+announcements = "127.0.0.1:0"
+operators = "127.0.0.1:0"
+[log]
+address = "127.0.0.1:1"
+[peers]
+interval_seconds = 0.05
+"""
+
+
+class SilentLog:
+    def routed(self, *_: object) -> None: ...
+
+    def refused(self, *_: object) -> None: ...
+
+    def event(self, name: str, **_: object) -> None: ...
+
+    def flush(self) -> None: ...
+
+
+class Backend:
+    """A backend server on raw streams; it notes each run before it works."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.runs: list[str] = []
+        self.headers: list[bytes] = []
+        self.work = 0.0
+        self.raw_answer: Callable[[str], bytes] | None = None
+        self.die_after: bytes | None = None
+        self.active = 0
+        self.most_active = 0
+        self.cancelled = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ("", 0)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = self._server.sockets[0].getsockname()
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            while await self._serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        headers = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:-2])
+        body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
+        name = headers[b"x-run"].decode()
+        self.runs.append(name)
+        self.headers.append(head)
+        self.active += 1
+        self.most_active = max(self.most_active, self.active)
+        try:
+            if self.work:
+                await self._work(reader)
+            writer.write(self._answer(name, body))
+            await writer.drain()
+            return self.die_after is None
+        finally:
+            self.active -= 1
+
+    async def _work(self, reader: asyncio.StreamReader) -> None:
+        """Work, unless the request is cancelled by its connection's end."""
+        gone = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait([gone], timeout=self.work)
+        gone.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await gone
+        if done:
+            self.cancelled += 1
+            raise ConnectionError("cancelled")
+
+    def _answer(self, name: str, body: bytes) -> bytes:
+        if self.raw_answer is not None:
+            return self.raw_answer(name)
+        content = f"{name}|{body.decode()}|{self.name}|{'.' * 200}".encode()
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(content)
+        whole = head + content
+        return whole if self.die_after is None else whole[: whole.index(self.die_after)]
+
+
+@dataclass
+class Got:
+    """What a caller got: a whole answer, or None where it broke off."""
+
+    status: int | None
+    result: str = ""
+    ran: str = ""
+    body: bytes = b""
+    headers: dict[bytes, bytes] | None = None
+
+    @property
+    def code(self) -> int:
+        return int(self.result.split()[0]) if self.result else -1
+
+
+class Wire:
+    """A relay that fails at one step of the first exchange it carries.
+
+    Steps: ``connect``, ``send`` (nothing sent on), ``send-half``, ``sent`` (all
+    sent on), ``answer`` (nothing of the answer sent back), ``answer-half``,
+    ``answer-end`` (all but three bytes). Faults: ``cut``, ``freeze``, ``delay``,
+    ``duplicate``, or a callable.
+    """
+
+    def __init__(self, upstream: tuple[str, int]) -> None:
+        self.upstream = upstream
+        self.step = ""
+        self.fault: str | Callable[[], object] = ""
+        self.hits = 0
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ("", 0)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = self._server.sockets[0].getsockname()
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def plan(self, step: str, fault: str | Callable[[], object]) -> None:
+        self.step, self.fault, self.hits = step, fault, 0
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        writers = [writer]
+        try:
+            await self._relay(reader, writer, writers)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            for each in writers:
+                each.transport.abort()
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        writers: list[asyncio.StreamWriter],
+    ) -> None:
+        await self._at("connect")
+        up_reader, up_writer = await asyncio.open_connection(*self.upstream)
+        writers.append(up_writer)
+        forward = asyncio.ensure_future(self._pump_requests(reader, up_writer))
+        back = asyncio.ensure_future(self._pump_answers(up_reader, writer))
+        try:
+            await asyncio.wait([forward, back], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            forward.cancel()
+            back.cancel()
+            await asyncio.gather(forward, back, return_exceptions=True)
+
+    async def _pump_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65536):
+            await self._at("send")
+            half = len(data) // 2
+            writer.write(data[:half])
+            await self._at("send-half")
+            writer.write(data[half:])
+            await writer.drain()
+            if self.step == "sent" and self.fault == "duplicate" and self._first():
+                await self._replay(data)
+            await self._at("sent")
+
+    async def _pump_answers(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(65536):
+            await self._at("answer")
+            half = len(data) // 2
+            writer.write(data[:half])
+            await self._at("answer-half")
+            writer.write(data[half:-3])
+            await self._at("answer-end")
+            writer.write(data[-3:])
+
+    async def _replay(self, data: bytes) -> None:
+        _, writer = await asyncio.open_connection(*self.upstream)
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    def _first(self) -> bool:
+        self.hits += 1
+        return self.hits == 1
+
+    async def _at(self, step: str) -> None:
+        if step != self.step or self.fault == "duplicate" or not self._first():
+            return
+        if self.fault == "cut":
+            raise ConnectionError("cut")
+        if self.fault == "freeze":
+            await asyncio.sleep(3600)
+        if self.fault == "delay":
+            await asyncio.sleep(0.05)
+        if callable(self.fault):
+            self.fault()
+
+
+class System:
+    """Entries ``a`` and ``c``, nodes ``b1`` and ``b2`` beside backend servers."""
+
+    def __init__(self, *, timeout_ms: int = TIMEOUT_MS, spec: ServiceSpec | None = None) -> None:
+        self.log = FakeLog()
+        self.spec = spec or ServiceSpec(SERVICE, timeout_ms=timeout_ms, measure_per_second=0)
+        self.node_by_name: dict[str, Node] = {}
+        self.backend_by_name: dict[str, Backend] = {}
+        self.wire_by_name: dict[str, Wire] = {}
+        self.pool = ClientPool()
+        self._peer_by_address: dict[tuple[str, int], FakePeer] = {}
+        self._transport_by_name: dict[str, FakePeers] = {}
+        self.crashes: list[asyncio.Future[None]] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self, *, slots: int = 4, backends: tuple[str, ...] = ("b1", "b2")) -> None:
+        record = ChangeRecord("setup", 0, PutService(self.spec))
+        await self.log.append(CHANGES_STREAM, msgspec.json.encode(record))
+        for name in ("a", "c", *backends):
+            await self.start_node(name)
+        for name in backends:
+            backend = Backend(name)
+            await backend.start()
+            self.backend_by_name[name] = backend
+            await self._add_wire(f"{name}-backend", backend.address)
+            await self._add_wire(f"{name}-hop", self.node_by_name[name].peers_address)
+            self.announce(name, slots)
+        await self._add_wire("caller", self.node_by_name["a"].callers_address)
+        await self._add_wire("holder", self.node_by_name["a"].peers_address)
+        self._rewrite("a", {name: f"{name}-hop" for name in backends})
+        self._rewrite("c", {"a": "holder"})
+        self._tasks.append(asyncio.ensure_future(self._announce_forever(slots)))
+        for name in ("a", "c"):
+            node = self.node_by_name[name]
+            await self.until(lambda n=node: len(n.table.serving(SERVICE)) == len(backends))
+            await self.until(lambda n=node: n.state.loaded)
+        await self.until(lambda: self._wired("a", backends))
+
+    async def start_node(self, name: str) -> Node:
+        transport = FakePeers(self._peer_by_address)
+        node = Node(
+            parse_settings(SETTINGS.format(name=name)),
+            log=self.log,
+            peers=transport,
+            decisions=SilentLog(),
+            clock=LoopClock(),
+        )
+        node.gossip.seeds = [n.peers_address for n in self.node_by_name.values()]
+        await node.start()
+        peer = FakePeer(node.gossip, node.follower)
+        self._peer_by_address[node.peers_address] = peer
+        for wire_name in (f"{name}-hop", "holder" if name == "a" else ""):
+            if wire_name in self.wire_by_name:
+                self._peer_by_address[self.wire_by_name[wire_name].address] = peer
+        self._transport_by_name[name] = transport
+        self.node_by_name[name] = node
+        return node
+
+    def announce(self, name: str, slots: int = 4, *, draining: bool = False) -> None:
+        address = format_address(self.wire_by_name[f"{name}-backend"].address)
+        message = Announcement(name, SERVICE, address, slots, draining=draining)
+        self.node_by_name[name].announced(message)
+
+    async def crash(self, name: str) -> None:
+        node = self.node_by_name.pop(name, None)
+        if node is None:
+            return
+        for address, peer in list(self._peer_by_address.items()):
+            if peer.gossip is node.gossip:
+                del self._peer_by_address[address]
+        await node.abort()
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self.pool.close()
+        for wire in self.wire_by_name.values():
+            wire.close()
+        for backend in self.backend_by_name.values():
+            backend.close()
+        for name in list(self.node_by_name):
+            await self.crash(name)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(20):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def runs(self, name: str) -> int:
+        return sum(backend.runs.count(name) for backend in self.backend_by_name.values())
+
+    async def issue_key(self, entry: str = "a") -> str:
+        address = self.node_by_name[entry].callers_address
+        got = await self.call(address, "key", method=b"POST", target=b"/hoisthook/keys")
+        return got.body.decode().strip()
+
+    async def call(
+        self,
+        address: tuple[str, int],
+        name: str,
+        *,
+        method: bytes = b"GET",
+        target: bytes = b"/x",
+        key: str | None = None,
+        body: bytes = b"",
+        headers: list[tuple[bytes, bytes]] | None = None,
+    ) -> Got:
+        """Send one request as a caller would."""
+        sent = [(b"host", b"x"), (b"hoisthook-service", SERVICE.encode())]
+        sent.append((b"x-run", name.encode()))
+        if key is not None:
+            sent.append((b"idempotency-key", key.encode()))
+        sent.extend(headers or [])
+        if body or method == b"POST":
+            sent.append((b"content-length", b"%d" % len(body)))
+        request = encode_request_head(method, target, sent) + body
+        connection = None
+        try:
+            async with asyncio.timeout(CALLER_SECONDS):
+                connection = await self.pool.open(address, CALLER_SECONDS)
+                head = await connection.send(request)
+                content = b""
+                while data := await connection.body.read():
+                    content += data
+        except (BrokenExchangeError, UnreachableError, TimeoutError):
+            return Got(None)
+        finally:
+            if connection is not None:
+                connection.close()
+        named = dict(head.headers)
+        result = named.get(b"hoisthook-result", b"").decode()
+        ran = named.get(b"hoisthook-ran", b"").decode()
+        return Got(head.status, result, ran, content, named)
+
+    async def _add_wire(self, name: str, upstream: tuple[str, int]) -> None:
+        wire = Wire(upstream)
+        await wire.start()
+        self.wire_by_name[name] = wire
+        if upstream in self._peer_by_address:
+            # Gossip is in memory and goes by the same addresses as the calls.
+            self._peer_by_address[wire.address] = self._peer_by_address[upstream]
+
+    def _rewrite(self, name: str, wire_by_node: dict[str, str]) -> None:
+        def rewrite(member: Member) -> Member:
+            wire = wire_by_node.get(member.node)
+            if wire is None or self.node_by_name.get(member.node) is None:
+                return member
+            address = format_address(self.wire_by_name[wire].address)
+            return msgspec.structs.replace(member, address=address)
+
+        self._transport_by_name[name].rewrite = rewrite
+        node = self.node_by_name[name]
+        receive = node.gossip.receive
+        node.gossip.receive = lambda message: receive(
+            msgspec.structs.replace(
+                message,
+                sender=rewrite(message.sender),
+                members=tuple(rewrite(member) for member in message.members),
+            )
+        )
+        for member in list(node.table):
+            changed = rewrite(member)
+            if changed is not member:
+                bumped = msgspec.structs.replace(changed, version=member.version)
+                node.table._put(bumped, 0.0)
+
+    def _wired(self, name: str, backends: tuple[str, ...]) -> bool:
+        members = self.node_by_name[name].table.serving(SERVICE)
+        wires = {self.wire_by_name[f"{each}-hop"].address for each in backends}
+        return {parse_address(member.address) for member in members.values()} == wires
+
+    async def _announce_forever(self, slots: int) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            for name in self.backend_by_name:
+                if name in self.node_by_name:
+                    beside = self.node_by_name[name].beside
+                    if not beside.draining_announced:
+                        self.announce(name, slots)
--- /dev/null
+++ b/tests/node/test_fault_matrix.py
@@ -0,0 +1,141 @@
+"""Every fault at every step of a request, judged by what truly ran and what was truly got."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+
+if TYPE_CHECKING:
+    from tests.node.harness import Got
+    from tests.node.harness import System
+
+WIRES = ("caller", "hop", "backend")
+STEPS = ("connect", "send", "send-half", "sent", "answer", "answer-half", "answer-end")
+FAULTS = ("cut", "freeze", "delay", "crash beside", "crash holder", "cut, log out")
+
+
+def plan(system: System, wire: str, step: str, fault: str) -> None:
+    """Arrange a fault on whichever backend server's wires are used first."""
+    names = ["caller"] if wire == "caller" else [f"{name}-{wire}" for name in ("b1", "b2")]
+    for name in names:
+        system.wire_by_name[name].plan(step, make_fault(system, name, fault))
+
+
+def make_fault(system: System, wire: str, fault: str) -> object:
+    def crash(node: str) -> None:
+        if node in system.node_by_name:
+            system.crashes.append(asyncio.ensure_future(system.crash(node)))
+
+    def log_out_and_cut() -> None:
+        system.log.outage = True
+        raise ConnectionError("cut")
+
+    if fault == "crash beside":
+        return lambda: crash("b1" if wire == "caller" else wire.split("-")[0])
+    if fault == "crash holder":
+        return lambda: crash("a")
+    if fault == "cut, log out":
+        return log_out_and_cut
+    return fault
+
+
+def clear(system: System) -> None:
+    for wire in system.wire_by_name.values():
+        wire.plan("", "")
+
+
+def judge(system: System, name: str, got: Got, most: int) -> None:
+    """Check what one send got against what the backend servers truly ran."""
+    runs = system.runs(name)
+    assert runs <= most
+    if got.ran == "not-run":
+        assert runs == 0
+    if got.code == 0:
+        assert got.status == 200
+        assert got.body.startswith(name.encode() + b"|")
+        assert got.body.endswith(b"." * 200)
+        assert runs >= 1
+    elif got.status is not None:
+        assert got.code > 0
+        assert got.ran in ("not-run", "unknown", "ran")
+
+
+async def settle(system: System) -> None:
+    """Wait until no run that was begun is under way, so that a late one shows."""
+    if system.crashes:
+        await asyncio.gather(*system.crashes)
+    await system.until(lambda: all(b.active == 0 for b in system.backend_by_name.values()))
+    await asyncio.sleep(0.02)
+
+
+# A copy on the way to the backend server itself is left out: TCP makes none, and
+# nothing stands there that could drop it but the backend server, which gets the key.
+DUPLICATES = [(wire, "sent", "duplicate") for wire in ("caller", "hop")]
+CELLS = [(wire, step, fault) for wire in WIRES for step in STEPS for fault in FAULTS]
+
+
+@pytest.mark.parametrize(("wire", "step", "fault"), [*CELLS, *DUPLICATES])
+async def test_non_repeatable_request_runs_at_most_once(
+    system: System, wire: str, step: str, fault: str
+) -> None:
+    key = await system.issue_key("a")
+    plan(system, wire, step, fault)
+    sends = []
+    first = await system.call(
+        system.wire_by_name["caller"].address, "once", method=b"POST", key=key, body=b"5"
+    )
+    await settle(system)
+    judge(system, "once", first, 1)
+    clear(system)
+    sends.append(first)
+    for entry in ("c", "a", "c"):
+        if entry not in system.node_by_name:
+            continue
+        address = system.node_by_name[entry].callers_address
+        again = await system.call(address, "once", method=b"POST", key=key, body=b"5")
+        await settle(system)
+        judge(system, "once", again, 1)
+        sends.append(again)
+    bodies = {got.body for got in sends if got.code == 0}
+    assert len(bodies) <= 1
+    if first.code == 0 and "a" in system.node_by_name:
+        assert all(got.code == 0 for got in sends[1:])
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+@pytest.mark.parametrize("wire", WIRES)
+async def test_repeatable_request_gets_its_own_whole_answer_or_none(
+    system: System, wire: str, step: str, fault: str
+) -> None:
+    plan(system, wire, step, fault)
+    address = system.wire_by_name["caller"].address
+    names = [f"get-{number}" for number in range(3)]
+    got = await asyncio.gather(*(system.call(address, name) for name in names))
+    await settle(system)
+    for name, each in zip(names, got, strict=True):
+        judge(system, name, each, 3)
+    clear(system)
+    if "a" in system.node_by_name:
+        after = await system.call(system.node_by_name["a"].callers_address, "after")
+        judge(system, "after", after, 2)
+
+
+@pytest.mark.parametrize(
+    ("step", "fault"),
+    [*((step, fault) for step in STEPS for fault in FAULTS[:3]), ("sent", "duplicate")],
+)
+async def test_repeat_that_goes_through_the_holder_runs_at_most_once(
+    system: System, step: str, fault: str
+) -> None:
+    key = await system.issue_key("a")
+    system.wire_by_name["holder"].plan(step, fault)
+    address = system.node_by_name["c"].callers_address
+    for _ in range(3):
+        got = await system.call(address, "once", method=b"POST", key=key, body=b"5")
+        await settle(system)
+        judge(system, "once", got, 1)
+    assert got.code in (0, 3006, 3005)
--- /dev/null
+++ b/tests/node/test_leaving.py
@@ -0,0 +1,199 @@
+"""Drains and shutdowns: nothing in progress is cut, nothing new is taken."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from hoisthook.adapter.control_app import Announcement
+from hoisthook.configuration.change import ChangeRecord
+from hoisthook.configuration.change import SetDrain
+from hoisthook.configuration.configuration_follower import CHANGES_STREAM
+from tests.node.harness import SERVICE
+from tests.node.harness import System
+
+
+if TYPE_CHECKING:
+    from hoisthook.node.node import Node
+
+LOG_STATES = ("log up", "log out")
+
+
+def entry(system: System, name: str = "a") -> tuple[str, int]:
+    return system.node_by_name[name].callers_address
+
+
+def serving(node: Node) -> set[str]:
+    return set(node.table.serving(SERVICE))
+
+
+@pytest.mark.parametrize("log_state", LOG_STATES)
+async def test_draining_backend_server_gets_no_new_work_and_keeps_its_old(
+    system: System, log_state: str
+) -> None:
+    system.log.outage = log_state == "log out"
+    backend = system.backend_by_name["b1"]
+    backend.work = system.backend_by_name["b2"].work = 0.2
+    running = [
+        asyncio.ensure_future(system.call(entry(system), f"old{number}")) for number in range(6)
+    ]
+    await system.until(lambda: backend.active > 0)
+    system.announce("b1", draining=True)
+    before = list(backend.runs)
+    system.backend_by_name["b2"].work = 0.0
+    got = [await system.call(entry(system, "ac"[n % 2]), f"new{n}") for n in range(10)]
+    assert [run for run in backend.runs if run.startswith("new")] == []
+    assert all(each.code == 0 for each in got)
+    done = await asyncio.gather(*running)
+    assert all(each.code == 0 for each in done if each.body.split(b"|")[0].decode() in before)
+    for name in ("a", "c"):
+        node = system.node_by_name[name]
+        await system.until(lambda n=node: serving(n) == {"b2"})
+
+
+@pytest.mark.parametrize("fault", ["crash beside", "freeze gossip", "cut gossip", "log out"])
+@pytest.mark.parametrize("step", ["before", "after"])
+async def test_no_fault_during_a_drain_brings_new_work(
+    system: System, step: str, fault: str
+) -> None:
+    """Admission beside refuses, whatever the entries have or have not heard."""
+
+    async def strike() -> None:
+        if fault == "crash beside":
+            await system.crash("b1")
+        elif fault == "log out":
+            system.log.outage = True
+        else:
+            for transport in system._transport_by_name.values():
+                transport.cut.add(system.node_by_name["b1"].peers_address)
+
+    if step == "before":
+        await strike()
+    if "b1" in system.node_by_name:
+        system.announce("b1", draining=True)
+    if step == "after":
+        await strike()
+    for number in range(8):
+        got = await system.call(entry(system, "ac"[number % 2]), f"r{number}")
+        assert got.code == 0
+        assert got.body.split(b"|")[2] == b"b2"
+    assert system.backend_by_name["b1"].runs == []
+
+
+async def test_operators_drain_is_obeyed_beside(system: System) -> None:
+    record = ChangeRecord("drain", 0, SetDrain("b1", drained=True))
+    await system.log.append(CHANGES_STREAM, msgspec.json.encode(record))
+    node = system.node_by_name["b1"]
+    await system.until(lambda: not node.beside.takes_work())
+    for number in range(6):
+        got = await system.call(entry(system), f"r{number}")
+        assert got.body.split(b"|")[2] == b"b2"
+
+
+async def test_change_is_in_force_everywhere_though_the_log_fails_after_it(
+    system: System,
+) -> None:
+    for name in ("b1", "b2", "c"):
+        system.node_by_name[name].follower.is_reader = lambda: False
+    system.node_by_name["a"].follower.is_reader = lambda: True
+    record = ChangeRecord("drain", 0, SetDrain("b2", drained=True))
+    await system.log.append(CHANGES_STREAM, msgspec.json.encode(record))
+    await system.until(lambda: system.node_by_name["a"].state.offset == 1)
+    system.log.outage = True
+    await system.until(lambda: all(n.state.offset == 1 for n in system.node_by_name.values()))
+
+
+async def test_node_started_in_an_outage_serves_by_its_peers_word(system: System) -> None:
+    system.log.outage = True
+    node = await system.start_node("late")
+    await system.until(lambda: node.state.loaded and len(serving(node)) == 2)
+    assert (await system.call(node.callers_address, "r")).code == 0
+
+
+async def test_closing_an_entry_cuts_nothing_and_takes_nothing_new(system: System) -> None:
+    for backend in system.backend_by_name.values():
+        backend.work = 0.25
+    running = [
+        asyncio.ensure_future(system.call(entry(system), f"r{number}")) for number in range(4)
+    ]
+    await system.until(lambda: sum(b.active for b in system.backend_by_name.values()) == 4)
+    node = system.node_by_name.pop("a")
+    assert await node.close()
+    assert all(got.code == 0 for got in await asyncio.gather(*running))
+    got = await system.call(system.wire_by_name["caller"].address, "late")
+    assert got.status is None
+    assert system.runs("late") == 0
+
+
+async def test_closing_a_node_beside_cuts_nothing(system: System) -> None:
+    for backend in system.backend_by_name.values():
+        backend.work = 0.25
+    running = [
+        asyncio.ensure_future(system.call(entry(system), f"r{number}")) for number in range(6)
+    ]
+    await system.until(lambda: system.backend_by_name["b1"].active > 0)
+    node = system.node_by_name.pop("b1")
+    assert await node.close()
+    got = await asyncio.gather(*running)
+    assert all(each.code == 0 for each in got)
+
+
+async def test_replacing_all_nodes_one_by_one_fails_no_request(system: System) -> None:
+    stop = asyncio.Event()
+    failures = []
+
+    async def keep_calling() -> None:
+        number = 0
+        while not stop.is_set():
+            number += 1
+            got = await system.call(entry(system, "c"), f"r{number}")
+            if got.code != 0:
+                failures.append(got)
+
+    calling = asyncio.ensure_future(keep_calling())
+    for name in ("b1", "b2"):
+        node = system.node_by_name.pop(name)
+        assert await node.close()
+        await system.start_node(name)
+        system.wire_by_name[f"{name}-hop"].upstream = system.node_by_name[name].peers_address
+        system.announce(name)
+        caller = system.node_by_name["c"]
+        await system.until(lambda n=name, c=caller: n in serving(c))
+    stop.set()
+    await calling
+    assert failures == []
+
+
+async def test_late_closing_reports_that_it_cut(system: System) -> None:
+    for backend in system.backend_by_name.values():
+        backend.work = 0.39
+    node = system.node_by_name.pop("a")
+    node._settings = msgspec.structs.replace(
+        node._settings, shutdown=msgspec.structs.replace(node._settings.shutdown, drain_seconds=0)
+    )
+    running = asyncio.ensure_future(system.call(node.callers_address, "r"))
+    await system.until(lambda: sum(b.active for b in system.backend_by_name.values()) == 1)
+    for backend in system.backend_by_name.values():
+        backend.work = 0.39
+    node.farewell_seconds = 0.0
+    whole = await node.close()
+    got = await running
+    assert whole or got.status is None
+    assert not whole or got.code == 0
+
+
+async def test_node_that_does_not_know_the_service_yet_offers_no_work(system: System) -> None:
+    """Entries that know it were told by such a node that there is no such service."""
+    system.log.outage = True
+    node = await system.start_node("late")
+    for transport in system._transport_by_name.values():
+        transport.cut.add(node.peers_address)
+    system._transport_by_name["late"].cut |= set(system._peer_by_address)
+    message = Announcement("late", SERVICE, "127.0.0.1:1", 4)
+    assert node.announced(message)
+    assert not node.table.me.takes_work
+    system.log.outage = False
+    await system.until(lambda: node.table.me.takes_work)
