--- a/src/hoisthook/adapter/http_log.py
+++ b/src/hoisthook/adapter/http_log.py
@@ -7,9 +7,11 @@
 
 import aiosonic
 import msgspec
+from aiosonic.connectors import TCPConnector
 from aiosonic.exceptions import ConnectTimeout
 from aiosonic.timeout import Timeouts
 
+from hoisthook.adapter.literal_resolver import LiteralResolver
 from hoisthook.exceptions import AppendUnknownError
 from hoisthook.exceptions import LogUnavailableError
 from hoisthook.identity import format_address
@@ -53,7 +55,7 @@
 
     def __init__(self, address: Address) -> None:
         self._base = f"http://{format_address(address)}/streams/"
-        self._client = aiosonic.HTTPClient()
+        self._client = aiosonic.HTTPClient(TCPConnector(resolver=LiteralResolver()))
 
     async def append(self, stream: str, payload: bytes) -> int:
         """Append a record and return its offset.
--- a/src/hoisthook/adapter/http_peers.py
+++ b/src/hoisthook/adapter/http_peers.py
@@ -7,8 +7,10 @@
 
 import aiosonic
 import msgspec
+from aiosonic.connectors import TCPConnector
 from aiosonic.timeout import Timeouts
 
+from hoisthook.adapter.literal_resolver import LiteralResolver
 from hoisthook.identity import format_address
 from hoisthook.membership.member import Exchange
 from hoisthook.membership.member import Member
@@ -31,7 +33,7 @@
     """A `PeerTransport` whose calls are all harmless to repeat."""
 
     def __init__(self) -> None:
-        self._client = aiosonic.HTTPClient()
+        self._client = aiosonic.HTTPClient(TCPConnector(resolver=LiteralResolver()))
         self._timeouts = Timeouts(sock_connect=CONNECT_SECONDS, request_timeout=ANSWER_SECONDS)
         self.bytes_out = 0
         self.bytes_in = 0
--- a/standin/backend_server.py
+++ b/standin/backend_server.py
@@ -142,7 +142,11 @@
         body: bytes,
         headers: list[tuple[bytes, bytes]] | None = None,
     ) -> None:
-        framed = [(b"content-length", str(len(body)).encode()), *(headers or [])]
+        framed = [
+            (b"content-length", str(len(body)).encode()),
+            (b"content-type", b"application/json"),
+            *(headers or []),
+        ]
         await send({"type": "http.response.start", "status": status, "headers": framed})
         await send({"type": "http.response.body", "body": body})
 
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import socket
 import sys
@@ -34,7 +35,9 @@
 
 READY_SECONDS = 60.0
 POLL_SECONDS = 0.05
-PORTS_PER_KIND = 100
+FIRST_BLOCK_PORT = 10_000
+LAST_BLOCK_PORT = 30_000
+BLOCK_SIZE = 200
 
 
 @dataclass(slots=True)
@@ -86,6 +89,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="hoisthook-"))
         self.places: list[Place] = []
         self.log_port = 0
+        self._block: PortBlock | None = None
         self._log_process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -110,6 +114,8 @@
         if self._log_process is not None:
             others.append(self._log_process)
         await asyncio.gather(*(stop(process) for process in others))
+        if self._block is not None:
+            self._block.close()
         for path in self.folder.iterdir():
             path.unlink()
         self.folder.rmdir()
@@ -201,7 +207,8 @@
 
     def _ports(self, count: int) -> list[int]:
         if not self.options.base_port:
-            return free_ports(count)
+            self._block = PortBlock(count)
+            return self._block.ports
         base = self.options.base_port
         each = (count - 1) // 5
         return [base, *(base + 100 * (k + 1) + n for k in range(5) for n in range(each))]
@@ -254,13 +261,28 @@
         await wait_until(is_open)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the system says are free."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+class PortBlock:
+    """Ports below the system's own range, kept from other clusters by a guard socket.
+
+    A port that the system chose and that is then closed may go to any outgoing
+    connection before its server starts; these may not.
+    """
+
+    def __init__(self, count: int) -> None:
+        self._guard, first = self._claim()
+        self.ports = list(range(first + 1, first + 1 + count))
+
+    def close(self) -> None:
+        """Let others have the block."""
+        self._guard.close()
+
+    def _claim(self) -> tuple[socket.socket, int]:
+        starts = list(range(FIRST_BLOCK_PORT, LAST_BLOCK_PORT, BLOCK_SIZE))
+        random.shuffle(starts)
+        for start in starts:
+            with contextlib.suppress(OSError):
+                return socket.create_server(("127.0.0.1", start)), start
+        raise RuntimeError("no block of ports is free")
 
 
 async def stop(process: asyncio.subprocess.Process) -> int:
--- /dev/null
+++ b/tests/node/test_bad_peers.py
@@ -0,0 +1,107 @@
+"""Hostile messages at the ports for peers, announcements and operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+from grpclib.client import Channel
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hoisthook.adapter.control_app import Announcement
+from hoisthook.membership.member import Exchange
+from hoisthook.node.wire import AttemptHeader
+from hoisthook.routing.load_view import LoadReport
+from hoisthook.rpc import operator_pb2 as pb
+from hoisthook.rpc.operator_grpc import OperatorStub
+
+
+if TYPE_CHECKING:
+    from tests.node.harness import System
+
+BAD_BODIES = [b"", b"{", b"[]", b'{"sender":1}', b"\xff\xfe", b"1" * 100_000]
+
+
+@pytest.mark.parametrize("body", BAD_BODIES)
+@pytest.mark.parametrize("path", [b"/hoisthook/v1/exchange", b"/hoisthook/v1/configuration"])
+async def test_malformed_peer_message_is_refused(system: System, path: bytes, body: bytes) -> None:
+    address = system.node_by_name["a"].peers_address
+    got = await system.call(address, "r", method=b"POST", target=path, body=body)
+    assert got.status == 400
+    assert msgspec.json.decode(got.body)["code"] == 1003
+    assert (await system.call(system.node_by_name["a"].callers_address, "ok")).code == 0
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 0},
+        {"slots": "many"},
+        {"address": "nowhere"},
+        {"backend_server": "../x"},
+        {"load_path": "x"},
+        {"colour": "red"},
+    ],
+)
+async def test_malformed_announcement_is_refused(system: System, change: dict[str, object]) -> None:
+    good = msgspec.to_builtins(Announcement("n", "svc", "127.0.0.1:1", 1))
+    address = system.node_by_name["a"].announcements_address
+    body = msgspec.json.encode(good | change)
+    got = await system.call(
+        address, "r", method=b"POST", target=b"/hoisthook/v1/announce", body=body
+    )
+    assert got.status == 400
+    assert msgspec.json.decode(got.body)["code"] == 1003
+
+
+async def test_second_backend_server_beside_one_node_is_refused(system: System) -> None:
+    assert not system.node_by_name["b1"].announced(Announcement("x", "svc", "127.0.0.1:1", 1))
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"1 2 3", b"s x t 0", b"s 1 t 99999999999999999999", b"\xff 1 t 1"]
+)
+async def test_malformed_attempt_is_refused(system: System, value: bytes) -> None:
+    address = system.node_by_name["b1"].peers_address
+    got = await system.call(address, "r", headers=[(b"hoisthook-attempt", value)])
+    assert got.ran == "not-run"
+    assert system.runs("r") == 0
+
+
+async def test_attempt_for_another_incarnation_is_refused(system: System) -> None:
+    header = AttemptHeader("s", 1, "gone", may_wait=False, repeatable=False, hedge=False)
+    address = system.node_by_name["b1"].peers_address
+    got = await system.call(address, "r", headers=[(b"hoisthook-attempt", header.encode())])
+    assert got.code == 2008
+    assert system.runs("r") == 0
+
+
+async def test_operators_bad_value_gets_its_number(system: System) -> None:
+    host, port = system.node_by_name["a"].operators_address
+    channel = Channel(host, port)
+    try:
+        header = pb.ChangeHeader(operation_id="1")
+        service = pb.Service(name="svc", timeout_ms=0)
+        reply = await OperatorStub(channel).PutService(
+            pb.PutServiceRequest(header=header, service=service)
+        )
+        assert (reply.code, reply.code_name) == (4004, "SPEC_INVALID")
+        missing = await OperatorStub(channel).GetService(pb.GetServiceRequest(name="none"))
+        assert missing.code == 4007
+    finally:
+        channel.close()
+
+
+@given(st.binary(max_size=100))
+def test_any_bytes_are_a_header_or_none(value: bytes) -> None:
+    AttemptHeader.decode(value)
+    LoadReport.decode(value)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_a_message_or_an_error(value: bytes) -> None:
+    for kind in (Exchange, Announcement):
+        with pytest.raises((msgspec.DecodeError, UnicodeDecodeError)):
+            msgspec.json.decode(value, type=kind)
--- /dev/null
+++ b/tests/process/test_processes.py
@@ -0,0 +1,235 @@
+"""Real processes and signals: kills, freezes, outages, rolling replacement."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest_asyncio
+
+from hoisthook.rpc import operator_pb2 as pb
+from standin.cluster import Cluster
+from standin.cluster import Options
+from standin.cluster import Place
+from standin.cluster import operator_call
+from standin.cluster import post_json
+from standin.cluster import stop
+from standin.cluster import wait_until
+from standin.deployment import Deployment
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+SERVICE = "airtime-top-up"
+ENTRY_SERVICE = "subscriber-accounts"
+SMALL = Deployment("small", ("kaolack", "fatick"), {ENTRY_SERVICE: 2, SERVICE: 2}, slots=4)
+
+
+class Caller:
+    """Calls as a shopkeeper's portal would, through an ordinary HTTP client."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=20))
+
+    async def key(self, place: Place) -> str:
+        headers = {"hoisthook-service": SERVICE}
+        async with self.session.post(f"{place.url}/hoisthook/keys", headers=headers) as answer:
+            return (await answer.text()).strip()
+
+    async def send(
+        self, place: Place, name: str, *, key: str | None = None, work_ms: float = 1.0
+    ) -> tuple[str, str]:
+        """Return the result header's number and whether it ran; "broken" where it broke."""
+        headers = {"hoisthook-service": SERVICE, "x-run": name, "x-work-ms": str(work_ms)}
+        if key is not None:
+            headers["idempotency-key"] = key
+        method = "GET" if key is None else "POST"
+        try:
+            async with self.session.request(method, f"{place.url}/x", headers=headers) as answer:
+                await answer.read()
+                result = answer.headers.get("hoisthook-result", "").split(" ")[0]
+                return result, answer.headers.get("hoisthook-ran", "")
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return "broken", "unknown"
+
+    async def runs(self, name: str) -> int:
+        count = 0
+        for place in self.cluster.of(SERVICE):
+            async with self.session.get(f"{place.backend_url}/_runs") as answer:
+                count += (await answer.json())["runs"].count(name)
+        return count
+
+
+@pytest_asyncio.fixture
+async def caller() -> AsyncIterator[Caller]:
+    cluster = Cluster(SMALL, Options(work_ms=1.0))
+    caller = Caller(cluster)
+    try:
+        await cluster.start()
+        yield caller
+    finally:
+        await caller.session.close()
+        for place in cluster.places:
+            for process in (place.node_process, place.backend_process):
+                if process is not None and process.returncode is None:
+                    process.send_signal(signal.SIGCONT)
+        await cluster.close()
+
+
+def kill(place: Place, number: signal.Signals) -> None:
+    assert place.node_process is not None
+    place.node_process.send_signal(number)
+
+
+async def running_place(caller: Caller, name: str) -> Place:
+    """Return where a request now runs."""
+    found: list[Place] = []
+
+    async def runs_somewhere() -> bool:
+        for place in caller.cluster.of(SERVICE):
+            async with caller.session.get(f"{place.backend_url}/_runs") as answer:
+                if name in (await answer.json())["runs"]:
+                    found.append(place)
+        return bool(found)
+
+    await wait_until(runs_somewhere)
+    return found[0]
+
+
+async def test_node_killed_beside_a_running_request_leaves_it_unknown_and_run_once(
+    caller: Caller,
+) -> None:
+    entry, other = caller.cluster.of(ENTRY_SERVICE)
+    key = await caller.key(entry)
+    sending = asyncio.ensure_future(caller.send(entry, "once", key=key, work_ms=800))
+    kill(await running_place(caller, "once"), signal.SIGKILL)
+    assert await sending == ("3001", "unknown")
+    for place in (other, entry, other):
+        assert (await caller.send(place, "once", key=key))[1] == "unknown"
+    assert await caller.runs("once") == 1
+
+
+async def test_killed_holder_leaves_its_keys_unknown_and_run_once(caller: Caller) -> None:
+    entry, other = caller.cluster.of(ENTRY_SERVICE)
+    key = await caller.key(entry)
+    sending = asyncio.ensure_future(caller.send(entry, "once", key=key, work_ms=300))
+    await running_place(caller, "once")
+    kill(entry, signal.SIGKILL)
+    assert (await sending)[0] == "broken"
+    await entry.node_process.wait()
+    await caller.cluster.start_node(entry)
+
+    async def is_back() -> bool:
+        return (await caller.send(entry, "ping"))[0] == "0"
+
+    await wait_until(is_back)
+    for place in (other, entry, other):
+        assert (await caller.send(place, "once", key=key))[1] == "unknown"
+    assert await caller.runs("once") == 1
+
+
+async def test_frozen_holder_that_wakes_runs_nothing_twice(caller: Caller) -> None:
+    entry, other = caller.cluster.of(ENTRY_SERVICE)
+    key = await caller.key(entry)
+    sending = asyncio.ensure_future(caller.send(entry, "once", key=key, work_ms=200))
+    await running_place(caller, "once")
+    kill(entry, signal.SIGSTOP)
+    frozen = await caller.send(other, "once", key=key)
+    assert frozen[1] == "unknown"
+    kill(entry, signal.SIGCONT)
+    await sending
+    for place in (other, entry):
+        assert (await caller.send(place, "once", key=key))[1] in ("ran", "unknown")
+    assert await caller.runs("once") == 1
+
+
+async def test_frozen_node_beside_is_passed_by_and_its_late_work_is_refused(
+    caller: Caller,
+) -> None:
+    entry = caller.cluster.of(ENTRY_SERVICE)[0]
+    frozen = caller.cluster.of(SERVICE)[0]
+    kill(frozen, signal.SIGSTOP)
+    names = [f"r{number}" for number in range(12)]
+    sending = [asyncio.ensure_future(caller.send(entry, name)) for name in names]
+    done, _ = await asyncio.wait(sending, timeout=2.0)
+    kill(frozen, signal.SIGCONT)
+    got = await asyncio.gather(*sending)
+    assert done
+    for name, (_, ran) in zip(names, got, strict=True):
+        if ran == "not-run":
+            assert await caller.runs(name) == 0
+
+    async def serves_again() -> bool:
+        status = await operator_call(
+            frozen.operators, lambda stub: stub.NodeStatus(pb.NodeStatusRequest())
+        )
+        return bool(status.pauses >= 1)
+
+    await wait_until(serves_again)
+
+
+async def test_rolling_replacement_of_all_nodes_cuts_nothing(caller: Caller) -> None:
+    places = caller.cluster.places
+    busy = asyncio.Event()
+    bad: list[tuple[str, str]] = []
+
+    async def keep_calling(entry: Place) -> None:
+        number = 0
+        while not busy.is_set():
+            number += 1
+            got = await caller.send(entry, f"{entry.name}-{number}", work_ms=5)
+            if got[0] != "0":
+                bad.append(got)
+
+    entry = caller.cluster.of(ENTRY_SERVICE)[0]
+    calling = [asyncio.ensure_future(keep_calling(entry)) for _ in range(3)]
+    for place in places[1:]:
+        assert place.node_process is not None
+        assert await stop(place.node_process) == 0
+        await caller.cluster.start_node(place)
+        await caller.cluster.wait_until_known()
+    busy.set()
+    await asyncio.gather(*calling)
+    assert bad == []
+
+
+async def test_drain_with_the_log_out_sends_no_new_work(caller: Caller) -> None:
+    await caller.cluster.log_faults(outage=True)
+    entry = caller.cluster.of(ENTRY_SERVICE)[0]
+    leaving, staying = caller.cluster.of(SERVICE)
+    await post_json(f"{leaving.backend_url}/_behave", {"draining": True})
+
+    async def is_known() -> bool:
+        reply = await operator_call(
+            entry.operators, lambda stub: stub.ListBackendServers(pb.ListBackendServersRequest())
+        )
+        return any(b.id == leaving.name and not b.takes_work for b in reply.backend_servers)
+
+    await wait_until(is_known)
+    for number in range(20):
+        assert (await caller.send(entry, f"new{number}"))[0] == "0"
+    async with caller.session.get(f"{staying.backend_url}/_runs") as answer:
+        runs = (await answer.json())["runs"]
+    assert sum(run.startswith("new") for run in runs) == 20
+
+
+async def test_node_has_one_thread_no_child_and_no_shared_memory(caller: Caller) -> None:
+    entry = caller.cluster.of(ENTRY_SERVICE)[0]
+    for number in range(10):
+        await caller.send(entry, f"r{number}")
+    for place in caller.cluster.places:
+        assert place.node_process is not None
+        pid = place.node_process.pid
+        threads = os.listdir(f"/proc/{pid}/task")
+        assert len(threads) == 1
+        with open(f"/proc/{pid}/task/{pid}/children") as children:
+            assert children.read() == ""
+        with open(f"/proc/{pid}/maps") as maps:
+            # The C library maps one of its own read-only files as shared.
+            modes = [line.split()[1] for line in maps]
+        assert [mode for mode in modes if mode.endswith("s") and "w" in mode] == []
--- /dev/null
+++ b/tests/process/test_system_calls.py
@@ -0,0 +1,58 @@
+"""What a running node asks of the kernel, watched by strace."""
+
+from __future__ import annotations
+
+import re
+import shutil
+import sys
+from typing import TYPE_CHECKING
+
+from standin.cluster import Cluster
+from standin.cluster import Options
+from tests.process.test_processes import ENTRY_SERVICE
+from tests.process.test_processes import SMALL
+from tests.process.test_processes import Caller
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+FORBIDDEN = {
+    *("clone", "clone3", "fork", "vfork"),
+    *("io_uring_setup", "io_uring_enter", "io_uring_register"),
+    *("shmget", "shmat", "memfd_create"),
+}
+WRITING = re.compile(r"O_WRONLY|O_RDWR|O_CREAT")
+
+
+async def test_node_starts_no_process_and_uses_no_io_uring_or_shared_memory(
+    tmp_path: Path,
+) -> None:
+    strace = shutil.which("strace")
+    assert strace, "strace is needed; .ci/run installs it"
+    options = Options()
+    trace = ["-e", "trace=process,%file,io_uring_setup,io_uring_enter,shmget,shmat,memfd_create"]
+    # With -ff each traced process or thread writes a file of its own.
+    options.program = [strace, "-D", "-ff", "-qq", "-o", str(tmp_path / "trace"), *trace]
+    options.program += [sys.executable, "-B", "-m", "hoisthook"]
+    cluster = Cluster(SMALL, options)
+    caller = Caller(cluster)
+    try:
+        await cluster.start()
+        entry = cluster.of(ENTRY_SERVICE)[0]
+        key = await caller.key(entry)
+        assert (await caller.send(entry, "r", key=key))[0] == "0"
+        assert (await caller.send(entry, "s"))[0] == "0"
+    finally:
+        await caller.session.close()
+        statuses = await cluster.close()
+    assert statuses == [0] * len(statuses)
+    traces = sorted(tmp_path.glob("trace.*"))
+    assert len(traces) == len(statuses)
+    for path in traces:
+        lines = path.read_text().splitlines()
+        calls = [line.split("(", 1)[0] for line in lines]
+        assert not FORBIDDEN & set(calls)
+        assert calls.count("execve") == 1
+        opened = [line for line in lines if line.startswith("open") and WRITING.search(line)]
+        assert [line for line in opened if "/dev/null" not in line] == []
--- /dev/null
+++ b/tool/__init__.py
@@ -0,0 +1,3 @@
+"""Tools for building; not shipped."""
+
+from __future__ import annotations
