--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -184,6 +184,13 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def restart(self, *, upstream: tuple[str, int]) -> None:
+        """Drop all connections and relay new ones elsewhere."""
+        self.upstream = upstream
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(0.01)
+
     def plan(self, step: str, fault: str | Callable[[], object]) -> None:
         self.step, self.fault, self.hits = step, fault, 0
 
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -292,6 +292,10 @@
 
 async def test_node_whose_connections_drop_is_left_alone_for_a_while(system: System) -> None:
     """Each call that was lost there spent the retry budget of the next."""
-    system.wire_by_name["b1-hop"].upstream = ("127.0.0.1", 1)
+    system.backend_by_name["b2"].work = 0.02
+    await asyncio.gather(*(system.call(entry(system), f"warm{number}") for number in range(8)))
+    await system.until(lambda: all(b.active == 0 for b in system.backend_by_name.values()))
+    wire = system.wire_by_name["b1-hop"]
+    await wire.restart(upstream=("127.0.0.1", 1))
     for number in range(10):
         assert (await system.call(entry(system), f"r{number}")).code == 0
