--- a/src/hoisthook/node/dispatcher.py
+++ b/src/hoisthook/node/dispatcher.py
@@ -195,10 +195,19 @@
         other = self._router.choose(call.spec.name, {candidate.member.node}, now)
         if other is None or other.view.closed_until > now or not effort.budget.take():
             return None
-        attempt = self._attempt(may_wait=False, hedge=True)
+        attempt = self._attempt(may_wait=True, hedge=True)
         done.attempts += 1
         done.reason = "hedged"
-        return attempt, self._client.run(other, call, attempt)
+        return attempt, self._run_hedge(other, call, attempt, effort)
+
+    async def _run_hedge(
+        self, other: Candidate, call: Call, attempt: Attempt, effort: ServiceEffort
+    ) -> RunResult:
+        result = await self._client.run(other, call, attempt)
+        if isinstance(result, Refused):
+            effort.budget.give_back()
+            self._learn_refusal(other, result)
+        return result
 
     def _attempt(self, *, may_wait: bool, hedge: bool = False) -> Attempt:
         self._numbers += 1
--- a/src/hoisthook/retry/hedge_timer.py
+++ b/src/hoisthook/retry/hedge_timer.py
@@ -3,27 +3,29 @@
 from __future__ import annotations
 
 
-QUANTILE = 0.97
-START_SECONDS = 0.05
+FACTOR = 2.0
+START_SECONDS = 0.025
 MIN_SECONDS = 0.002
-STEP = 0.03
+STEP = 0.02
 
 
 class HedgeTimer:
-    """Follows a high quantile of the answer times by small steps.
+    """Hedges what takes `FACTOR` times the usual, the median of the answer times.
 
-    Each answer moves the estimate up by ``QUANTILE`` or down by ``1 - QUANTILE``
-    of a step proportional to it, which settles where the two balance.
+    A high quantile would follow the very slowness that hedging is meant for: where
+    more requests are slow than the quantile leaves out, it learns to wait for them.
+    Each answer moves the median's estimate up or down by a step proportional to it.
     """
 
     def __init__(self) -> None:
-        self.delay = START_SECONDS
+        self._median = START_SECONDS
+
+    @property
+    def delay(self) -> float:
+        """Return the seconds after which to hedge."""
+        return max(MIN_SECONDS, FACTOR * self._median)
 
     def answered(self, seconds: float) -> None:
         """Learn from one answer time."""
-        step = STEP * self.delay
-        if seconds > self.delay:
-            self.delay += step * QUANTILE
-        else:
-            self.delay -= step * (1.0 - QUANTILE)
-        self.delay = max(MIN_SECONDS, self.delay)
+        step = STEP * self._median
+        self._median += step if seconds > self._median else -step
--- a/src/hoisthook/retry/retry_budget.py
+++ b/src/hoisthook/retry/retry_budget.py
@@ -37,3 +37,8 @@
         self._saved -= 1.0
         self.spent += 1
         return True
+
+    def give_back(self) -> None:
+        """Undo a `take` whose try was refused and so burdened no backend server."""
+        self._saved = min(MAX_SAVED, self._saved + 1.0)
+        self.spent -= 1
