A stalled backend server gets one probe at a time, and its queue runs elsewhere

Cause: slots held by stuck requests, and those queued behind them, made the p99; the gate opened as soon as hedges had cancelled the stuck ones, and a second batch stuck. Change: stall at 2.5 times the usual for half of the running requests; then one probe at a time until one is answered in usual time; those waiting are refused, so that their entries try elsewhere. Next: the refusals.

--- a/src/hoisthook/admission/slot_gate.py
+++ b/src/hoisthook/admission/slot_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from itertools import islice
@@ -17,10 +18,11 @@
 
     from hoisthook.identity import CallerId
 
-STALL_FACTOR = 4.0
+STALL_FACTOR = 2.5
 STALL_FLOOR_SECONDS = 0.005
 STALL_SHARE = 0.5
 STALL_MINIMUM = 2
+PROBE_FACTOR = 2.0
 MIN_RETRY_AFTER_SECONDS = 0.002
 
 
@@ -58,7 +60,9 @@
     """Admits at most ``limit`` requests at once; others wait briefly or are refused.
 
     A backend server stalls when at least half of its running requests are much
-    older than requests there usually get; it takes no new work until that passes.
+    older than requests there usually get. It then takes one request at a time, as a
+    probe, until one is answered in usual time; those that still run from before the
+    probe's end are not held against it any more.
 
     Parameters
     ----------
@@ -71,6 +75,9 @@
         self.limit = slots
         self.queue_limit = 0
         self.service_time = ServiceTime()
+        self._stalled = False
+        self._probe: Ticket | None = None
+        self._moved_at = -math.inf
         self._running: dict[Ticket, None] = {}
         self._running_by_caller: dict[CallerId, int] = {}
         self._queue = FairQueue(self._running_by_caller)
@@ -98,7 +105,7 @@
             Whether it may wait when all slots are taken.
         """
         if self.is_stalled(now):
-            return Refusal(ResultCode.BACKEND_SERVER_EJECTED, self._time_to_slot())
+            return self._admit_probe(ticket, now)
         if len(self._running) < self.limit and not len(self._queue):
             self._start(ticket, now)
             return None
@@ -119,6 +126,8 @@
             del self._running[ticket]
             self._count_out(ticket.caller)
             self.service_time.add(now - ticket.started)
+        if ticket is self._probe:
+            self._judge_probe(ticket, now)
         self._admit_waiting(now)
 
     def set_limit(self, limit: int, now: float) -> None:
@@ -127,7 +136,16 @@
         self._admit_waiting(now)
 
     def is_stalled(self, now: float) -> bool:
-        """Return whether the running requests show that the backend server stalls."""
+        """Return whether the backend server stalls, and empty the queue when it begins to."""
+        if not self._stalled and self._shows_stall(now):
+            self._stalled = True
+            self._probe = None
+            for waiting in self.refuse_waiting():
+                if waiting.on_admit is not None:
+                    waiting.on_admit()
+        return self._stalled
+
+    def _shows_stall(self, now: float) -> bool:
         running = len(self._running)
         if running < STALL_MINIMUM or not self.service_time.known:
             return False
@@ -135,7 +153,20 @@
         needed = max(STALL_MINIMUM, int(running * STALL_SHARE))
         # Tickets are kept in order of start, so the oldest come first.
         oldest = islice(self._running, needed)
-        return all(now - ticket.started > bound for ticket in oldest)
+        return all(self._moved_at < t.started < now - bound for t in oldest)
+
+    def _admit_probe(self, ticket: Ticket, now: float) -> Refusal | None:
+        if self._probe is not None or len(self._running) >= self.limit:
+            return Refusal(ResultCode.BACKEND_SERVER_EJECTED, self.service_time.typical)
+        self._probe = ticket
+        self._start(ticket, now)
+        return None
+
+    def _judge_probe(self, ticket: Ticket, now: float) -> None:
+        self._probe = None
+        if now - ticket.started <= PROBE_FACTOR * self.service_time.typical:
+            self._stalled = False
+            self._moved_at = now
 
     def refuse_waiting(self) -> list[Ticket]:
         """Empty the queue and return the tickets that waited."""
--- a/src/hoisthook/node/beside.py
+++ b/src/hoisthook/node/beside.py
@@ -151,7 +151,10 @@
         now = self._clock.now()
         self.state.tick(now)
         if self.state.phase in (Phase.ABSENT, Phase.DRAINING):
-            self.gate.refuse_waiting()
+            for ticket in self.gate.refuse_waiting():
+                if ticket.on_admit is not None:
+                    ticket.on_admit()
+        self.gate.is_stalled(now)
 
     def _refuse_by_phase(self, call: Call, now: float) -> Refused | None:
         if call.spec.name != self.service:
