--- a/src/hoisthook/configuration/service_spec.py
+++ b/src/hoisthook/configuration/service_spec.py
@@ -40,7 +40,7 @@
     concurrency_per_backend_server : int
         Requests in progress at one backend server; 0 for its slots.
     queue_per_backend_server : int
-        Requests that may wait beside one backend server; -1 for half its slots.
+        Requests that may wait beside one backend server; -1 for as many as its slots.
     retry_percent : float
         Retries and hedges together, in percent of the calls; at most 5.
     hedge : bool
--- a/src/hoisthook/node/beside.py
+++ b/src/hoisthook/node/beside.py
@@ -180,7 +180,7 @@
             slots = min(slots, self.share_of(call.spec.concurrency_limit))
         limit = min(slots, max(1, self.state.limit_of(slots, now) - self.foreign_load))
         queue = call.spec.queue_per_backend_server
-        gate.queue_limit = queue if queue >= 0 else max(1, slots // 2)
+        gate.queue_limit = queue if queue >= 0 else slots
         if limit != gate.limit:
             gate.set_limit(limit, now)
 
