--- a/src/hoisthook/membership/member_table.py
+++ b/src/hoisthook/membership/member_table.py
@@ -4,6 +4,7 @@
 
 import zlib
 from collections import deque
+from itertools import islice
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -21,6 +22,7 @@
 NEWS_PER_EXCHANGE = 12
 SUSPECT_SECONDS = 1.5
 FORGET_SECONDS = 3600.0
+FORGET_PER_SWEEP = 64
 
 
 class MemberTable:
@@ -45,6 +47,7 @@
         self._changed_at_by_node: dict[str, float] = {}
         self._by_service: dict[str, dict[str, Member]] = {}
         self._suspects: dict[str, None] = {}
+        self._gone: dict[str, None] = {}
         self._news: deque[tuple[str, int]] = deque()
         self._digest = 0
         self.on_status: Callable[[Member], None] | None = None
@@ -115,14 +118,16 @@
             Those declared dead now.
         """
         dead = []
-        for node, changed_at in list(self._changed_at_by_node.items()):
-            member = self._by_node[node]
-            if member.status is MemberStatus.SUSPECT and now - changed_at > SUSPECT_SECONDS:
-                buried = msgspec.structs.replace(member, status=MemberStatus.DEAD)
+        for node in list(self._suspects):
+            if now - self._changed_at_by_node[node] > SUSPECT_SECONDS:
+                buried = msgspec.structs.replace(self._by_node[node], status=MemberStatus.DEAD)
                 self._put(buried, now)
                 dead.append(buried)
-            elif member.is_gone and now - changed_at > FORGET_SECONDS:
-                self._forget(node)
+        # Kept in the order of their going, so the first young one ends the sweep.
+        for node in list(islice(self._gone, FORGET_PER_SWEEP)):
+            if now - self._changed_at_by_node[node] <= FORGET_SECONDS:
+                break
+            self._forget(node)
         return dead
 
     def any_suspect(self) -> Member | None:
@@ -179,10 +184,12 @@
             self._add_digest(known)
             self._unlist(known)
         self._by_node[member.node] = member
+        self._suspects.pop(member.node, None)
+        self._gone.pop(member.node, None)
         if member.status is MemberStatus.SUSPECT:
             self._suspects[member.node] = None
-        else:
-            self._suspects.pop(member.node, None)
+        elif member.is_gone:
+            self._gone[member.node] = None
         self._changed_at_by_node[member.node] = now
         self._add_digest(member)
         self._list(member)
@@ -192,6 +199,7 @@
 
     def _forget(self, node: str) -> None:
         member = self._by_node.pop(node)
+        self._gone.pop(node, None)
         self._changed_at_by_node.pop(node, None)
         self._nodes.remove(node)
         self._add_digest(member)
