Documents, the one-file program and its watch by strace

Cause: a stranger could not pick the program up. Ruled out: PyInstaller and shiv by what they unpack and start.

--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,65 @@
+"""The pages that can be checked against the program are."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from hoisthook.configuration.service_spec import ServiceSpec
+from hoisthook.console.commands.codes import table_lines
+from hoisthook.result_code import ResultCode
+from hoisthook.settings.node_settings import NodeSettings
+
+
+DOCS = Path(__file__).parent.parent.parent / "docs"
+ROW = re.compile(r"^\| `([a-z_.]+)` \|[^|]*\|[^|]*\|([^|]*)\|", re.MULTILINE)
+
+
+def rows_of(page: str) -> dict[str, str]:
+    """Return the default stated for each key."""
+    return {key: default.strip().strip("`") for key, default in ROW.findall(page)}
+
+
+def stated(default: object) -> str:
+    if default is msgspec.NODEFAULT:
+        return "required"
+    if isinstance(default, bool):
+        return str(default).lower()
+    if isinstance(default, float):
+        return f"{default:g}"
+    if default == ():
+        return "[]"
+    if default == "":
+        return "empty"
+    return str(getattr(default, "value", default))
+
+
+def model() -> dict[str, str]:
+    defaults = {}
+    for table in msgspec.structs.fields(NodeSettings):
+        for field in msgspec.structs.fields(table.type):
+            defaults[f"{table.name}.{field.name}"] = stated(field.default)
+    for field in msgspec.structs.fields(ServiceSpec):
+        defaults[field.name] = stated(field.default)
+    return defaults
+
+
+def test_configuration_page_states_each_key_and_default() -> None:
+    assert rows_of((DOCS / "CONFIGURATION.md").read_text()) == model()
+
+
+def test_result_codes_page_is_the_programs_own_table() -> None:
+    assert "\n".join(table_lines()) in (DOCS / "RESULT_CODES.md").read_text()
+
+
+def test_result_numbers_are_unique() -> None:
+    assert len({code.number for code in ResultCode}) == len(ResultCode)
+
+
+@pytest.mark.parametrize("page", sorted(DOCS.glob("*.md")), ids=lambda path: path.name)
+def test_links_between_pages_lead_somewhere(page: Path) -> None:
+    for target in re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text()):
+        assert (page.parent / target).exists(), target
--- a/tests/process/test_system_calls.py
+++ b/tests/process/test_system_calls.py
@@ -7,11 +7,14 @@
 import sys
 from typing import TYPE_CHECKING
 
+import pytest
+
 from standin.cluster import Cluster
 from standin.cluster import Options
 from tests.process.test_processes import ENTRY_SERVICE
 from tests.process.test_processes import SMALL
 from tests.process.test_processes import Caller
+from tool.build_dist import build
 
 
 if TYPE_CHECKING:
@@ -25,8 +28,9 @@
 WRITING = re.compile(r"O_WRONLY|O_RDWR|O_CREAT")
 
 
+@pytest.mark.parametrize("packed", [False, True], ids=["source", "one file"])
 async def test_node_starts_no_process_and_uses_no_io_uring_or_shared_memory(
-    tmp_path: Path,
+    tmp_path: Path, packed: bool
 ) -> None:
     strace = shutil.which("strace")
     assert strace, "strace is needed; .ci/run installs it"
@@ -34,7 +38,12 @@
     trace = ["-e", "trace=process,%file,io_uring_setup,io_uring_enter,shmget,shmat,memfd_create"]
     # With -ff each traced process or thread writes a file of its own.
     options.program = [strace, "-D", "-ff", "-qq", "-o", str(tmp_path / "trace"), *trace]
-    options.program += [sys.executable, "-B", "-m", "hoisthook"]
+    if packed:
+        build(tmp_path / "hoisthook")
+        # Without site packages, as on an instance that has only Python.
+        options.program += [sys.executable, "-S", str(tmp_path / "hoisthook")]
+    else:
+        options.program += [sys.executable, "-B", "-m", "hoisthook"]
     cluster = Cluster(SMALL, options)
     caller = Caller(cluster)
     try:
@@ -55,4 +64,16 @@
         assert not FORBIDDEN & set(calls)
         assert calls.count("execve") == 1
         opened = [line for line in lines if line.startswith("open") and WRITING.search(line)]
-        assert [line for line in opened if "/dev/null" not in line] == []
+        written = [line for line in opened if "/dev/null" not in line]
+        if packed:
+            # Extension modules and the temporary folder's own trial, each deleted again.
+            deleted = {name_in(line) for line in lines if line.startswith("unlink")}
+            assert {name_in(line) for line in written} <= deleted
+            assert all('"/tmp/' in line for line in written)
+        else:
+            assert written == []
+
+
+def name_in(line: str) -> str:
+    """Return the last part of the path that a traced call names."""
+    return line.split('"')[1].rpartition("/")[2]
