--- /dev/null
+++ b/tests/configuration/test_change_matrix.py
@@ -0,0 +1,150 @@
+"""Every fault at every step of a configuration change."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+from result import Err
+from result import Ok
+
+from hoisthook.configuration import configuration_desk
+from hoisthook.configuration.change import ChangeRecord
+from hoisthook.configuration.change import PutService
+from hoisthook.configuration.configuration_desk import ConfigurationDesk
+from hoisthook.configuration.configuration_follower import CHANGES_STREAM
+from hoisthook.configuration.configuration_follower import ConfigurationFollower
+from hoisthook.configuration.configuration_state import ConfigurationState
+from hoisthook.configuration.service_spec import ServiceSpec
+from hoisthook.result_code import ResultCode
+from tests.fakes import FakeClock
+from tests.fakes import FakeLog
+from tests.fakes import FakePeers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+STEPS = ("before", "append", "appended", "read back", "accepted")
+FAULTS = (
+    "outage",
+    "request lost",
+    "answer lost",
+    "racing operator",
+    "answer lost, then outage",
+    "racing operator, answer lost",
+    "records expire",
+    "record stands twice",
+)
+
+
+class Seat:
+    """One node's part in changes."""
+
+    def __init__(self, log: FakeLog, clock: FakeClock) -> None:
+        self.state = ConfigurationState()
+        self.follower = ConfigurationFollower(
+            self.state, log, FakePeers({}), clock, random.Random(1), retention=100.0
+        )
+        self.desk = ConfigurationDesk(self.state, self.follower, log)
+
+
+class SteppedLog(FakeLog):
+    """A log that strikes once at a step of the change under test."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.step = ""
+        self.strike: Callable[[], Awaitable[None]] | None = None
+
+    async def at(self, step: str) -> None:
+        if step == self.step and self.strike is not None:
+            strike, self.strike = self.strike, None
+            await strike()
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        mine = b'"mine"' in payload
+        if mine:
+            await self.at("append")
+        offset = await super().append(stream, payload)
+        if mine:
+            await self.at("appended")
+        return offset
+
+    async def read(self, stream: str, offset: int, *, wait: float = 0.0) -> object:
+        if stream == CHANGES_STREAM and self.append_count >= 2:
+            await self.at("read back")
+        return await super().read(stream, offset, wait=wait)
+
+
+def change(operation: str, base: int, timeout: int) -> ChangeRecord:
+    return ChangeRecord(operation, base, PutService(ServiceSpec("a", timeout_ms=timeout)))
+
+
+def make_strike(log: SteppedLog, clock: FakeClock, fault: str) -> Callable[[], Awaitable[None]]:
+    async def strike() -> None:
+        if "racing operator" in fault:
+            await FakeLog.append(log, CHANGES_STREAM, configuration_payload("other", 1, 77))
+        if "request lost" in fault:
+            log.lose_requests = 1
+        if "answer lost" in fault:
+            log.lose_answers = 1
+        if "outage" in fault:
+            log.outage = True
+        if fault == "record stands twice":
+            await FakeLog.append(log, CHANGES_STREAM, configuration_payload("mine", 1, 50))
+        if fault == "records expire":
+            keeper = Seat(log, clock)
+            await keeper.follower.read_log()
+            clock.advance(30.0)
+            await keeper.follower.keep_snapshot()
+            log.expire(CHANGES_STREAM, 0)
+
+    return strike
+
+
+def configuration_payload(operation: str, base: int, timeout: int) -> bytes:
+    return msgspec.json.encode(change(operation, base, timeout))
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", STEPS)
+async def test_what_the_operator_is_told_is_true_everywhere_and_for_ever(
+    monkeypatch: pytest.MonkeyPatch, clock: FakeClock, step: str, fault: str
+) -> None:
+    monkeypatch.setattr(configuration_desk, "SETTLE_SECONDS", 0.05)
+    log = SteppedLog()
+    here = Seat(log, clock)
+    assert isinstance(await here.desk.submit(change("first", 0, 10)), Ok)
+    witness = Seat(log, clock)
+    await witness.follower.read_log()
+    log.step, log.strike = step, make_strike(log, clock, fault)
+    await log.at("before")
+    told = await here.desk.submit(change("mine", 1, 50))
+    await log.at("accepted")
+    log.outage = False
+    log.lose_answers = log.lose_requests = 0
+    fresh = Seat(log, clock)
+    for seat in (here, witness, fresh):
+        offset = seat.state.offset
+        await seat.follower.read_log()
+        assert seat.state.offset >= offset
+    assert here.state.snapshot() == witness.state.snapshot() == fresh.state.snapshot()
+    winner = fresh.state.service_by_name["a"].timeout_ms
+    applied = [o.operation_id for o in fresh.state.history if o.applied]
+    assert applied.count("mine") + applied.count("other") <= 1
+    if isinstance(told, Ok):
+        assert winner == 50
+    elif told.err_value.code in (ResultCode.LOG_UNAVAILABLE, ResultCode.REVISION_CONFLICT):
+        assert winner != 50
+    # A repeat with the same operation id tells the final truth and changes nothing more.
+    again = await fresh.desk.submit(change("mine", 1, 50))
+    if isinstance(told, Ok):
+        assert isinstance(again, Ok)
+        assert again.ok_value.winner == told.ok_value.winner
+    if isinstance(again, Err):
+        assert again.err_value.code is ResultCode.REVISION_CONFLICT
+    assert (fresh.state.service_by_name["a"].timeout_ms == 50) == isinstance(again, Ok)
