Configuration spreads both ways; fewer words and wake-ups for control

Cause 2: at the target's rate of news, telling each 33 times would take 2.8 of a node's 10 KB/s; 18 times do, with reconciliation behind them. Cause 3: 30 of the idle node's 40 timers a second did nothing.

--- a/benchmark/capacity.py
+++ b/benchmark/capacity.py
@@ -49,6 +49,7 @@
 NODES = 24_000
 SERVICES = 3_700
 TARGET_KEYS = 50_000
+READERS = 2 * 29
 MEMBER_SIZES = (500, 2_000, 8_000)
 SERVICE_SIZES = (100, 400, 1_600)
 KEY_SIZES = (1_000, 4_000, 16_000)
@@ -247,15 +248,15 @@
     ]
 
 
-def spread_rounds(count: int, seed: int) -> int:
-    """Return after how many rounds all of ``count`` nodes know one piece of news.
+def spread_rounds(count: int, informed: int, seed: int) -> int:
+    """Return after how many rounds all of ``count`` nodes know what some know at first.
 
     Each node exchanges with one random node a round, both ways, as gossip does; this
     is the arithmetic of chance alone, without clocks, delays or failures.
     """
     draw = random.Random(seed)
     knows = bytearray(count)
-    knows[0] = 1
+    knows[:informed] = b"\1" * informed
     rounds = 0
     while not all(knows):
         rounds += 1
@@ -267,11 +268,11 @@
     return rounds
 
 
-def spread_slope() -> Slope:
+def spread_slope(name: str, informed: int) -> Slope:
     """Return the rounds that news takes, at sizes up to the target's own."""
     sizes = (500, 2_000, 8_000, NODES)
-    rounds = tuple(float(max(spread_rounds(n, seed) for seed in range(3))) for n in sizes)
-    return Slope("rounds until all know", "rounds", sizes, rounds, NODES)
+    rounds = tuple(float(max(spread_rounds(n, informed, s) for s in range(3))) for n in sizes)
+    return Slope(name, "rounds", sizes, rounds, NODES)
 
 
 def table_lines(slopes: list[Slope]) -> list[str]:
@@ -290,7 +291,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--json", type=Path)
     arguments = parser.parse_args()
-    slopes = [*memory_slopes(), *time_slopes(), *byte_slopes(), spread_slope()]
+    slopes = [*memory_slopes(), *time_slopes(), *byte_slopes()]
+    slopes.append(spread_slope("rounds until all know a node's news", 1))
+    slopes.append(spread_slope("rounds until all know the readers' news", READERS))
     sys.stdout.write("\n".join(table_lines(slopes)) + "\n")
     if arguments.json is not None:
         arguments.json.write_bytes(msgspec.json.encode(slopes))
--- a/src/hoisthook/measure/measurer.py
+++ b/src/hoisthook/measure/measurer.py
@@ -20,7 +20,7 @@
     from hoisthook.port.clock import Clock
 
 READ_SECONDS = 0.25
-POLL_SECONDS = 0.05
+NO_RATE_SECONDS = 1.0
 MAX_BYTES = 4096
 MAX_FOREIGN_SHARE = 0.5
 
@@ -67,7 +67,8 @@
     async def run(self) -> None:
         """Read whenever the budget allows, until cancelled."""
         while True:
-            await asyncio.sleep(POLL_SECONDS)
+            rate = self._budget.rate
+            await asyncio.sleep(1.0 / rate if rate > 0 else NO_RATE_SECONDS)
             if self.path and self._beside.takes_work() and self._budget.take(self._clock.now()):
                 await self.read()
 
--- a/src/hoisthook/membership/gossip.py
+++ b/src/hoisthook/membership/gossip.py
@@ -72,6 +72,7 @@
         self._randomness = randomness
         self._interval = interval
         self._rounds = 0
+        self._fetching: asyncio.Task[None] | None = None
         self.seeds = seeds
         self.configuration_offset: Callable[[], int] = lambda: -1
         self.on_peer_offset: OnPeerOffset | None = None
@@ -120,7 +121,25 @@
     def receive(self, message: Exchange) -> Exchange:
         """Take in a peer's message and return the answer to it."""
         self._merge(message)
-        return self._message(message.sender)
+        if message.configuration_offset > self.configuration_offset():
+            self._fetch_soon(message)
+        return self.message_for(message.sender)
+
+    def _fetch_soon(self, message: Exchange) -> None:
+        """Fetch configuration from a peer that has more, one fetch at a time."""
+        if self.on_peer_offset is None or self._fetching is not None:
+            return
+        address = parse_address(message.sender.address)
+        fetch = self._fetch(self.on_peer_offset, address, message.configuration_offset)
+        self._fetching = asyncio.get_running_loop().create_task(fetch)
+
+    async def _fetch(self, fetch: OnPeerOffset, address: Address, offset: int) -> None:
+        try:
+            await fetch(address, offset)
+        except (OSError, TimeoutError, ValueError):
+            self.failures += 1
+        finally:
+            self._fetching = None
 
     def _choose_seed(self, peer: Member | None) -> Address | None:
         joining = self._rounds <= JOIN_ROUNDS or peer is None
@@ -132,7 +151,7 @@
         self.exchanges += 1
         begun = self._clock.now()
         try:
-            answer = await self._transport.exchange(address, self._message(peer))
+            answer = await self._transport.exchange(address, self.message_for(peer))
             self._merge(answer)
             if self._wants_sync(answer):
                 await self._reconcile(address)
@@ -166,7 +185,8 @@
         share = BUSY_RECONCILE_SHARE if self.table.has_news else IDLE_RECONCILE_SHARE
         return self._randomness.random() < share
 
-    def _message(self, peer: Member | None) -> Exchange:
+    def message_for(self, peer: Member | None) -> Exchange:
+        """Return what to tell a peer, or a seed of which nothing is known."""
         news = self.table.take_news()
         believed = None if peer is None else self.table.get(peer.node)
         if believed is not None and believed.status is not MemberStatus.ALIVE:
--- a/src/hoisthook/membership/member_table.py
+++ b/src/hoisthook/membership/member_table.py
@@ -241,7 +241,7 @@
             del self._by_service[member.service]
 
     def _tell(self, node: str) -> None:
-        times = 3 + 2 * len(self._by_node).bit_length()
+        times = 3 + len(self._by_node).bit_length()
         self._news.appendleft((node, times))
 
     def _add_digest(self, member: Member) -> None:
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -66,7 +66,6 @@
 
 FAREWELL_SECONDS = 0.5
 HOUSEKEEPING_SECONDS = 5.0
-LOG_FLUSH_SECONDS = 0.1
 
 
 class Node:
@@ -157,7 +156,6 @@
             self._tick_forever(),
             self._housekeep_forever(),
             self._publish_forever(),
-            self._flush_forever(),
             self.gossip.run(),
             self.follower.run(),
             self._measurer.run(),
@@ -384,6 +382,7 @@
             self.beside.tick()
             self._share.observe(self.table.serving(self.beside.service), now)
             self._say_what_changed()
+            self._decisions.flush()
             await asyncio.sleep(TICK_SECONDS)
 
     async def _housekeep_forever(self) -> None:
@@ -395,11 +394,6 @@
             self._router.forget_gone()
             self._dispatcher.forget(set(self.state.service_by_name))
 
-    async def _flush_forever(self) -> None:
-        while True:
-            await asyncio.sleep(LOG_FLUSH_SECONDS)
-            self._decisions.flush()
-
     async def _publish_forever(self) -> None:
         while True:
             await asyncio.sleep(self.settings.metrics.interval_seconds)
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import asyncio
 import random
 
 import msgspec
@@ -163,3 +164,21 @@
     assert not crowd.nodes[0].table.merge(nonsense, crowd.clock.now())
     await crowd.rounds(30)
     assert crowd.known(0) >= {"n0", "n7"}
+
+
+async def test_configuration_spreads_both_ways(crowd: Crowd) -> None:
+    """Fetched only by who asks, it would take half as many rounds again."""
+    await crowd.rounds(8)
+    asked: list[tuple[str, int]] = []
+
+    async def fetch(address: tuple[str, int], offset: int) -> None:
+        asked.append((address, offset))
+
+    told = crowd.nodes[1]
+    told.on_peer_offset = fetch
+    crowd.nodes[0].configuration_offset = lambda: 7
+    message = crowd.nodes[0].message_for(None)
+    told.receive(message)
+    told.receive(message)
+    await asyncio.sleep(0)
+    assert asked == [(("127.0.0.1", 1), 7)]
