--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -65,6 +65,7 @@
     from hoisthook.settings.node_settings import NodeSettings
 
 FAREWELL_SECONDS = 0.5
+CANCEL_AGAIN_SECONDS = 0.1
 HOUSEKEEPING_SECONDS = 5.0
 
 
@@ -186,9 +187,7 @@
         ended = await asyncio.gather(self._callers.close(timeout), self._peer_server.close(timeout))
         await self._announcements.close(1.0)
         await self._close_operators()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._end_tasks()
         self._hop_pool.close()
         self._backend_pool.close()
         await self._peers.close()
@@ -199,6 +198,14 @@
             self._statsd.close()
         return all(ended)
 
+    async def _end_tasks(self) -> None:
+        """Cancel until it holds: a client library may turn a cancel into an error."""
+        running = set(self._tasks)
+        while running:
+            for task in running:
+                task.cancel()
+            _, running = await asyncio.wait(running, timeout=CANCEL_AGAIN_SECONDS)
+
     async def abort(self) -> None:
         """Drop everything at once, as a crash would."""
         for task in [*self._tasks, *self._announcing]:
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -19,6 +19,17 @@
     monkeypatch.setattr(backend_server_state, "COLD_SECONDS", 0.001)
 
 
+@pytest_asyncio.fixture
+async def patient_system(warm_backend_servers: None) -> AsyncIterator[System]:
+    """Give a system whose deadlines pass on no machine, however busy."""
+    system = System(timeout_ms=60_000)
+    try:
+        await system.start()
+        yield system
+    finally:
+        await system.close()
+
+
 @pytest_asyncio.fixture
 async def system(warm_backend_servers: None) -> AsyncIterator[System]:
     system = System()
--- a/tests/node/test_leaving.py
+++ b/tests/node/test_leaving.py
@@ -14,8 +14,10 @@
 from hoisthook.configuration.change import ChangeRecord
 from hoisthook.configuration.change import SetDrain
 from hoisthook.configuration.configuration_follower import CHANGES_STREAM
+from hoisthook.exceptions import LogUnavailableError
 from hoisthook.membership.member import MemberStatus
 from hoisthook.node import node as node_module
+from hoisthook.result_code import ResultCode
 from hoisthook.rpc import operator_pb2 as pb
 from hoisthook.rpc.operator_grpc import OperatorStub
 from tests.node.harness import SERVICE
@@ -271,3 +273,24 @@
     assert await system.node_by_name.pop("a").close()
     assert [b.cancelled for b in system.backend_by_name.values()] == [0, 0]
     assert [b.active for b in system.backend_by_name.values()] == [0, 0]
+
+
+async def test_closing_ends_though_a_client_library_swallows_the_cancel(
+    system: System, no_grace: None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Then the log's reader went on for ever, and so did the node."""
+    reading = asyncio.Event()
+    for name, each in system.node_by_name.items():
+        each.follower.is_reader = lambda n=name: n == "a"
+
+    async def read(stream: str, offset: int, *, wait: float = 0.0) -> object:
+        reading.set()
+        try:
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            raise LogUnavailableError(ResultCode.LOG_UNAVAILABLE, "cancelled") from None
+
+    monkeypatch.setattr(system.log, "read", read)
+    await asyncio.wait_for(reading.wait(), 20)
+    async with asyncio.timeout(20):
+        assert await system.node_by_name.pop("a").close()
