--- a/benchmark/capacity.py
+++ b/benchmark/capacity.py
@@ -42,7 +42,6 @@
 from hoisthook.routing.policy import ExpectedTime
 from hoisthook.routing.router import Router
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/benchmark/latency.py
+++ b/benchmark/latency.py
@@ -27,7 +27,6 @@
 from standin.deployment import SEVA
 from standin.deployment import TERANGA
 
-
 PERCENTILES = (50.0, 99.0, 99.9)
 WORK_MS = 1.0
 IDLE_SECONDS = 10.0
--- a/benchmark/load.py
+++ b/benchmark/load.py
@@ -20,7 +20,6 @@
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnreachableError
 
-
 LOWEST_MICROS = 1
 HIGHEST_MICROS = 60_000_000
 DIGITS = 3
--- a/benchmark/policy.py
+++ b/benchmark/policy.py
@@ -31,7 +31,6 @@
 from standin.deployment import TERANGA
 from standin.deployment import Deployment
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/benchmark/relay.py
+++ b/benchmark/relay.py
@@ -21,7 +21,6 @@
 from hoisthook.adapter.http.message import end_to_end
 from hoisthook.adapter.literal_resolver import LiteralResolver
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/benchmark/runner.py
+++ b/benchmark/runner.py
@@ -15,7 +15,6 @@
 from benchmark.load import Report
 from benchmark.load import new_histogram
 
-
 if TYPE_CHECKING:
     from hdrh.histogram import HdrHistogram
 
--- a/benchmark/transport.py
+++ b/benchmark/transport.py
@@ -22,7 +22,6 @@
 from standin.cluster import PortBlock
 from standin.cluster import stop
 
-
 WARM_UP_SECONDS = 2.0
 START_SECONDS = 2.0
 WORK_MS = "1"
--- a/src/hoisthook/adapter/control_app.py
+++ b/src/hoisthook/adapter/control_app.py
@@ -19,7 +19,6 @@
 from hoisthook.membership.member import Exchange
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/adapter/http/asgi_bridge.py
+++ b/src/hoisthook/adapter/http/asgi_bridge.py
@@ -7,7 +7,6 @@
 
 from hoisthook.exceptions import BrokenExchangeError
 
-
 if TYPE_CHECKING:
     from starlette.types import ASGIApp
 
--- a/src/hoisthook/adapter/http/body_stream.py
+++ b/src/hoisthook/adapter/http/body_stream.py
@@ -9,7 +9,6 @@
 
 from hoisthook.exceptions import BrokenExchangeError
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -11,7 +11,6 @@
 from hoisthook.identity import format_address
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.server_connection import Handler
     from hoisthook.identity import Address
--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -14,7 +14,6 @@
 from hoisthook.adapter.http.message import Header
 from hoisthook.exceptions import BrokenExchangeError
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/adapter/http/client_pool.py
+++ b/src/hoisthook/adapter/http/client_pool.py
@@ -8,7 +8,6 @@
 from hoisthook.adapter.http.client_connection import ClientConnection
 from hoisthook.exceptions import UnreachableError
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Address
 
--- a/src/hoisthook/adapter/http/message.py
+++ b/src/hoisthook/adapter/http/message.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-
 Header = tuple[bytes, bytes]
 
 HOP_BY_HOP = frozenset(
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -17,7 +17,6 @@
 from hoisthook.adapter.http.server_exchange import ServerExchange
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -9,7 +9,6 @@
 from hoisthook.adapter.http.message import encode_answer_head
 from hoisthook.adapter.http.message import encode_chunk
 
-
 if TYPE_CHECKING:
     import asyncio
 
--- a/src/hoisthook/adapter/http_log.py
+++ b/src/hoisthook/adapter/http_log.py
@@ -19,7 +19,6 @@
 from hoisthook.port.platform_log import LogRecord
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Address
 
--- a/src/hoisthook/adapter/http_peers.py
+++ b/src/hoisthook/adapter/http_peers.py
@@ -16,7 +16,6 @@
 from hoisthook.membership.member import Member
 from hoisthook.port.peer_transport import ConfigurationPage
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Address
 
--- a/src/hoisthook/adapter/json_log.py
+++ b/src/hoisthook/adapter/json_log.py
@@ -10,7 +10,6 @@
 import logbook
 import msgspec
 
-
 if TYPE_CHECKING:
     from hoisthook.node.call import Call
     from hoisthook.node.dispatcher import Dispatched
--- a/src/hoisthook/adapter/operator_service.py
+++ b/src/hoisthook/adapter/operator_service.py
@@ -17,7 +17,6 @@
 from hoisthook.rpc.spec_codec import spec_from_message
 from hoisthook.rpc.spec_codec import spec_to_message
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/adapter/statsd_metrics.py
+++ b/src/hoisthook/adapter/statsd_metrics.py
@@ -6,7 +6,6 @@
 
 from statsd import StatsClient
 
-
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
--- a/src/hoisthook/admission/backend_server_state.py
+++ b/src/hoisthook/admission/backend_server_state.py
@@ -7,7 +7,6 @@
 
 from transitions import Machine
 
-
 if TYPE_CHECKING:
     from hoisthook.port.clock import Randomness
 
--- a/src/hoisthook/admission/concurrency_share.py
+++ b/src/hoisthook/admission/concurrency_share.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-
 if TYPE_CHECKING:
     from collections.abc import Collection
 
--- a/src/hoisthook/admission/fair_queue.py
+++ b/src/hoisthook/admission/fair_queue.py
@@ -5,7 +5,6 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-
 if TYPE_CHECKING:
     from hoisthook.admission.slot_gate import Ticket
     from hoisthook.identity import CallerId
--- a/src/hoisthook/admission/service_time.py
+++ b/src/hoisthook/admission/service_time.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 WARM_COUNT = 20
 SMOOTHING = 0.05
 OUTLIER_FACTOR = 4.0
--- a/src/hoisthook/admission/slot_gate.py
+++ b/src/hoisthook/admission/slot_gate.py
@@ -12,7 +12,6 @@
 from hoisthook.admission.service_time import ServiceTime
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/configuration/change.py
+++ b/src/hoisthook/configuration/change.py
@@ -6,7 +6,6 @@
 
 from hoisthook.configuration.service_spec import ServiceSpec
 
-
 RECORD_VERSION = 1
 
 
--- a/src/hoisthook/configuration/configuration_desk.py
+++ b/src/hoisthook/configuration/configuration_desk.py
@@ -15,7 +15,6 @@
 from hoisthook.exceptions import LogUnavailableError
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.configuration.change import ChangeRecord
     from hoisthook.configuration.configuration_follower import ConfigurationFollower
--- a/src/hoisthook/configuration/configuration_follower.py
+++ b/src/hoisthook/configuration/configuration_follower.py
@@ -12,7 +12,6 @@
 from hoisthook.exceptions import HoisthookError
 from hoisthook.port.peer_transport import ConfigurationPage
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/configuration/configuration_state.py
+++ b/src/hoisthook/configuration/configuration_state.py
@@ -13,7 +13,6 @@
 from hoisthook.configuration.change import problem_of
 from hoisthook.configuration.service_spec import ServiceSpec
 
-
 if TYPE_CHECKING:
     from hoisthook.port.platform_log import LogRecord
 
--- a/src/hoisthook/configuration/service_spec.py
+++ b/src/hoisthook/configuration/service_spec.py
@@ -6,7 +6,6 @@
 
 from hoisthook.identity import is_name
 
-
 MAX_TIMEOUT_MS = 600_000
 MAX_RETRY_PERCENT = 5.0
 MAX_MEASURE_PER_SECOND = 10.0
--- a/src/hoisthook/console/application.py
+++ b/src/hoisthook/console/application.py
@@ -21,7 +21,6 @@
 from hoisthook.console.commands.undrain import UndrainCommand
 from hoisthook.exceptions import HoisthookError
 
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
--- a/src/hoisthook/console/command.py
+++ b/src/hoisthook/console/command.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/check.py
+++ b/src/hoisthook/console/commands/check.py
@@ -8,7 +8,6 @@
 
 from hoisthook.settings.settings_file import load_settings
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/codes.py
+++ b/src/hoisthook/console/commands/codes.py
@@ -7,7 +7,6 @@
 
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     import argparse
     from collections.abc import Iterator
--- a/src/hoisthook/console/commands/delete_service.py
+++ b/src/hoisthook/console/commands/delete_service.py
@@ -10,7 +10,6 @@
 from hoisthook.console.operator_call import print_reply
 from hoisthook.rpc import operator_pb2 as pb
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/put_service.py
+++ b/src/hoisthook/console/commands/put_service.py
@@ -18,7 +18,6 @@
 from hoisthook.rpc import operator_pb2 as pb
 from hoisthook.rpc.spec_codec import spec_to_message
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/run.py
+++ b/src/hoisthook/console/commands/run.py
@@ -18,7 +18,6 @@
 from hoisthook.node.node import Node
 from hoisthook.settings.settings_file import load_settings
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/schema.py
+++ b/src/hoisthook/console/commands/schema.py
@@ -6,7 +6,6 @@
 from importlib import resources
 from typing import TYPE_CHECKING
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/commands/status.py
+++ b/src/hoisthook/console/commands/status.py
@@ -9,7 +9,6 @@
 from hoisthook.console.operator_call import print_reply
 from hoisthook.rpc import operator_pb2 as pb
 
-
 if TYPE_CHECKING:
     import argparse
 
--- a/src/hoisthook/console/operator_call.py
+++ b/src/hoisthook/console/operator_call.py
@@ -19,7 +19,6 @@
 from hoisthook.rpc import operator_pb2 as pb
 from hoisthook.rpc.operator_grpc import OperatorStub
 
-
 if TYPE_CHECKING:
     import argparse
     from collections.abc import Awaitable
--- a/src/hoisthook/idempotency/key.py
+++ b/src/hoisthook/idempotency/key.py
@@ -11,7 +11,6 @@
 from hoisthook.identity import ServiceName
 from hoisthook.identity import is_name
 
-
 PREFIX = "hk1"
 SEPARATOR = "."
 SIGNATURE_BYTES = 10
--- a/src/hoisthook/idempotency/key_register.py
+++ b/src/hoisthook/idempotency/key_register.py
@@ -11,7 +11,6 @@
 from hoisthook.idempotency.key import Key
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Incarnation
     from hoisthook.identity import NodeId
--- a/src/hoisthook/idempotency/replay_window.py
+++ b/src/hoisthook/idempotency/replay_window.py
@@ -5,7 +5,6 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Incarnation
 
--- a/src/hoisthook/identity.py
+++ b/src/hoisthook/identity.py
@@ -5,7 +5,6 @@
 import re
 from typing import NewType
 
-
 NodeId = NewType("NodeId", str)
 Incarnation = NewType("Incarnation", str)
 ServiceName = NewType("ServiceName", str)
--- a/src/hoisthook/measure/measurer.py
+++ b/src/hoisthook/measure/measurer.py
@@ -11,7 +11,6 @@
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnreachableError
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
--- a/src/hoisthook/membership/gossip.py
+++ b/src/hoisthook/membership/gossip.py
@@ -9,7 +9,6 @@
 from hoisthook.membership.member import Exchange
 from hoisthook.membership.member import MemberStatus
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/src/hoisthook/membership/member_table.py
+++ b/src/hoisthook/membership/member_table.py
@@ -14,7 +14,6 @@
 from hoisthook.membership.member import Member
 from hoisthook.membership.member import MemberStatus
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
--- a/src/hoisthook/membership/pause_guard.py
+++ b/src/hoisthook/membership/pause_guard.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 TICK_SECONDS = 0.1
 PAUSE_SECONDS = 1.0
 ALONE_SECONDS = 3.0
--- a/src/hoisthook/membership/reader_choice.py
+++ b/src/hoisthook/membership/reader_choice.py
@@ -8,7 +8,6 @@
 
 from hoisthook.membership.member import MemberStatus
 
-
 if TYPE_CHECKING:
     from hoisthook.membership.member_table import MemberTable
 
--- a/src/hoisthook/node/beside.py
+++ b/src/hoisthook/node/beside.py
@@ -18,7 +18,6 @@
 from hoisthook.result_code import ResultCode
 from hoisthook.routing.load_view import LoadReport
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/node/call.py
+++ b/src/hoisthook/node/call.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.body_stream import BodyStream
     from hoisthook.adapter.http.message import Header
--- a/src/hoisthook/node/dispatch_progress.py
+++ b/src/hoisthook/node/dispatch_progress.py
@@ -11,7 +11,6 @@
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.node.beside import RunResult
 
--- a/src/hoisthook/node/dispatcher.py
+++ b/src/hoisthook/node/dispatcher.py
@@ -15,7 +15,6 @@
 from hoisthook.retry.hedge_timer import HedgeTimer
 from hoisthook.retry.retry_budget import RetryBudget
 
-
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
--- a/src/hoisthook/node/entry.py
+++ b/src/hoisthook/node/entry.py
@@ -20,7 +20,6 @@
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.configuration.configuration_state import ConfigurationState
--- a/src/hoisthook/node/exchanger.py
+++ b/src/hoisthook/node/exchanger.py
@@ -12,7 +12,6 @@
 from hoisthook.node.call import Lost
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.body_stream import BodyStream
     from hoisthook.adapter.http.client_connection import ClientConnection
--- a/src/hoisthook/node/hedge_race.py
+++ b/src/hoisthook/node/hedge_race.py
@@ -8,7 +8,6 @@
 from hoisthook.node.answer import Answer
 from hoisthook.node.call import Lost
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
--- a/src/hoisthook/node/hop_client.py
+++ b/src/hoisthook/node/hop_client.py
@@ -16,7 +16,6 @@
 from hoisthook.result_code import ResultCode
 from hoisthook.routing.load_view import LoadReport
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/src/hoisthook/node/hop_server.py
+++ b/src/hoisthook/node/hop_server.py
@@ -20,7 +20,6 @@
 from hoisthook.node.request_body import read_body
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
     from hoisthook.adapter.http.server_exchange import ServerExchange
--- a/src/hoisthook/node/key_desk.py
+++ b/src/hoisthook/node/key_desk.py
@@ -26,7 +26,6 @@
 from hoisthook.node.reply import success_headers
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -52,7 +52,6 @@
 from hoisthook.routing.policy import make_policy
 from hoisthook.routing.router import Router
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.control_app import Announcement
     from hoisthook.adapter.http.server_exchange import ServerExchange
--- a/src/hoisthook/node/node_report.py
+++ b/src/hoisthook/node/node_report.py
@@ -7,7 +7,6 @@
 
 from hoisthook.rpc import operator_pb2 as pb
 
-
 if TYPE_CHECKING:
     from hoisthook.configuration.configuration_follower import ConfigurationFollower
     from hoisthook.configuration.configuration_state import ConfigurationState
--- a/src/hoisthook/node/reply.py
+++ b/src/hoisthook/node/reply.py
@@ -12,7 +12,6 @@
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
     from hoisthook.adapter.http.server_exchange import ServerExchange
--- a/src/hoisthook/node/request_body.py
+++ b/src/hoisthook/node/request_body.py
@@ -6,7 +6,6 @@
 
 from hoisthook.node.call import MAX_BUFFERED_BODY_BYTES
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.body_stream import BodyStream
 
--- a/src/hoisthook/node/wire.py
+++ b/src/hoisthook/node/wire.py
@@ -7,7 +7,6 @@
 
 from hoisthook.identity import Incarnation
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
 
--- a/src/hoisthook/port/peer_transport.py
+++ b/src/hoisthook/port/peer_transport.py
@@ -10,7 +10,6 @@
 from hoisthook.configuration.configuration_state import Snapshot
 from hoisthook.port.platform_log import LogRecord
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Address
     from hoisthook.membership.member import Exchange
--- a/src/hoisthook/retry/hedge_timer.py
+++ b/src/hoisthook/retry/hedge_timer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 FACTOR = 2.0
 START_SECONDS = 0.025
 MIN_SECONDS = 0.002
--- a/src/hoisthook/retry/retry_budget.py
+++ b/src/hoisthook/retry/retry_budget.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 MAX_SAVED = 10.0
 START_SAVED = 1.0
 
--- a/src/hoisthook/routing/load_view.py
+++ b/src/hoisthook/routing/load_view.py
@@ -5,7 +5,6 @@
 import math
 from dataclasses import dataclass
 
-
 REPORT_HALF_LIFE_SECONDS = 0.010
 LATENCY_SMOOTHING = 0.1
 NETWORK_SMOOTHING = 0.1
--- a/src/hoisthook/routing/policy.py
+++ b/src/hoisthook/routing/policy.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
--- a/src/hoisthook/routing/router.py
+++ b/src/hoisthook/routing/router.py
@@ -8,7 +8,6 @@
 from hoisthook.routing.candidate import Candidate
 from hoisthook.routing.load_view import LoadView
 
-
 if TYPE_CHECKING:
     from collections.abc import Collection
 
--- a/src/hoisthook/rpc/spec_codec.py
+++ b/src/hoisthook/rpc/spec_codec.py
@@ -6,7 +6,6 @@
 from hoisthook.configuration.service_spec import ServiceSpec
 from hoisthook.rpc import operator_pb2 as pb
 
-
 _OPTIONAL_FIELDS = (
     "timeout_ms",
     "concurrency_limit",
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -13,7 +13,6 @@
 from hoisthook.result_code import ResultCode
 from hoisthook.settings.node_settings import NodeSettings
 
-
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from pathlib import Path
--- a/standin/backend_server.py
+++ b/standin/backend_server.py
@@ -22,7 +22,6 @@
 import msgspec
 import uvicorn
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/standin/cluster.py
+++ b/standin/cluster.py
@@ -23,7 +23,6 @@
 from hoisthook.rpc.operator_grpc import OperatorStub
 from hoisthook.rpc.spec_codec import spec_to_message
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/standin/platform_log.py
+++ b/standin/platform_log.py
@@ -22,7 +22,6 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-
 if TYPE_CHECKING:
     from starlette.requests import Request
 
--- a/standin/run.py
+++ b/standin/run.py
@@ -15,7 +15,6 @@
 from standin.deployment import SEVA
 from standin.deployment import TERANGA
 
-
 BASE_PORT = 7000
 
 
--- a/tests/adapter/http/test_bad_input.py
+++ b/tests/adapter/http/test_bad_input.py
@@ -12,7 +12,6 @@
 
 from hoisthook.adapter.http.call_server import CallServer
 
-
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
--- a/tests/adapter/http/test_client_connection.py
+++ b/tests/adapter/http/test_client_connection.py
@@ -10,7 +10,6 @@
 from hoisthook.adapter.http.client_pool import ClientPool
 from hoisthook.exceptions import BrokenExchangeError
 
-
 if TYPE_CHECKING:
     from hoisthook.adapter.http.client_connection import ClientConnection
 
--- a/tests/adapter/test_http_log.py
+++ b/tests/adapter/test_http_log.py
@@ -11,7 +11,6 @@
 from hoisthook.exceptions import AppendUnknownError
 from hoisthook.exceptions import LogUnavailableError
 
-
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
--- a/tests/admission/test_slot_gate.py
+++ b/tests/admission/test_slot_gate.py
@@ -10,7 +10,6 @@
 from hoisthook.admission.slot_gate import Ticket
 from hoisthook.result_code import ResultCode
 
-
 FAR = 1e9
 
 
--- a/tests/configuration/test_change_matrix.py
+++ b/tests/configuration/test_change_matrix.py
@@ -23,7 +23,6 @@
 from tests.fakes import FakeLog
 from tests.fakes import FakePeers
 
-
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
--- a/tests/configuration/test_configuration_state.py
+++ b/tests/configuration/test_configuration_state.py
@@ -15,7 +15,6 @@
 from hoisthook.configuration.service_spec import ServiceSpec
 from hoisthook.port.platform_log import LogRecord
 
-
 CHANGES = st.one_of(
     st.builds(
         PutService, st.builds(ServiceSpec, st.sampled_from("ab"), timeout_ms=st.integers(1, 9))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,6 @@
 from tests.fakes import FakeClock
 from tests.fakes import FakeLog
 
-
 settings.register_profile(
     "hoisthook",
     derandomize=True,
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -4,7 +4,6 @@
 
 from hoisthook.console.application import run
 
-
 if TYPE_CHECKING:
     from pathlib import Path
 
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -13,7 +13,6 @@
 from hoisthook.result_code import ResultCode
 from hoisthook.settings.node_settings import NodeSettings
 
-
 DOCS = Path(__file__).parent.parent.parent / "docs"
 ROW = re.compile(r"^\| `([a-z_.]+)` \|[^|]*\|[^|]*\|([^|]*)\|", re.MULTILINE)
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -11,7 +11,6 @@
 from hoisthook.port.platform_log import LogRecord
 from hoisthook.result_code import ResultCode
 
-
 if TYPE_CHECKING:
     from hoisthook.identity import Address
     from hoisthook.membership.gossip import Gossip
--- a/tests/idempotency/test_key_register.py
+++ b/tests/idempotency/test_key_register.py
@@ -20,7 +20,6 @@
 from hoisthook.result_code import ResultCode
 from tests.fakes import FakeClock
 
-
 ANSWER = KeptAnswer(200, ((b"a", b"b"),), b"body", "b-1")
 
 
--- a/tests/measure/test_measure_budget.py
+++ b/tests/measure/test_measure_budget.py
@@ -7,7 +7,6 @@
 
 from hoisthook.measure.measure_budget import MeasureBudget
 
-
 EVENTS = st.lists(
     st.tuples(st.sampled_from(["try", "restart", "storm"]), st.floats(0.0, 0.7)), max_size=200
 )
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -8,7 +8,6 @@
 from hoisthook.admission import backend_server_state
 from tests.node.harness import System
 
-
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -27,7 +27,6 @@
 from tests.fakes import FakePeer
 from tests.fakes import FakePeers
 
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
--- a/tests/node/test_bad_peers.py
+++ b/tests/node/test_bad_peers.py
@@ -17,7 +17,6 @@
 from hoisthook.rpc import operator_pb2 as pb
 from hoisthook.rpc.operator_grpc import OperatorStub
 
-
 if TYPE_CHECKING:
     from tests.node.harness import System
 
--- a/tests/node/test_fault_matrix.py
+++ b/tests/node/test_fault_matrix.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-
 if TYPE_CHECKING:
     from tests.node.harness import Got
     from tests.node.harness import System
--- a/tests/node/test_leaving.py
+++ b/tests/node/test_leaving.py
@@ -23,7 +23,6 @@
 from tests.node.harness import SERVICE
 from tests.node.harness import System
 
-
 if TYPE_CHECKING:
     from hoisthook.node.node import Node
 
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -9,7 +9,6 @@
 from tests.node.harness import SERVICE
 from tests.node.harness import System
 
-
 if TYPE_CHECKING:
     from tests.node.harness import Got
 
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -20,7 +20,6 @@
 from standin.cluster import wait_until
 from standin.deployment import Deployment
 
-
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
--- a/tests/process/test_system_calls.py
+++ b/tests/process/test_system_calls.py
@@ -16,7 +16,6 @@
 from tests.process.test_processes import Caller
 from tool.build_dist import build
 
-
 if TYPE_CHECKING:
     from pathlib import Path
 
--- a/tests/rpc/test_schema.py
+++ b/tests/rpc/test_schema.py
@@ -14,7 +14,6 @@
 from tool.generate_rpc import PACKAGE
 from tool.generate_rpc import generate
 
-
 if TYPE_CHECKING:
     from pathlib import Path
 
--- a/tests/settings/test_settings_file.py
+++ b/tests/settings/test_settings_file.py
@@ -12,7 +12,6 @@
 from hoisthook.settings.settings_file import load_settings
 from hoisthook.settings.settings_file import parse_settings
 
-
 if TYPE_CHECKING:
     from pathlib import Path
 
--- a/tool/build_dist.py
+++ b/tool/build_dist.py
@@ -12,7 +12,6 @@
 from importlib import metadata
 from pathlib import Path
 
-
 ROOT = Path(__file__).parent.parent
 NAME = re.compile(r"[A-Za-z0-9._-]+")
 
--- a/tool/dist_main.py
+++ b/tool/dist_main.py
@@ -15,7 +15,6 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
     from types import ModuleType
@@ -60,5 +59,4 @@
 
 from hoisthook.__main__ import main  # noqa: E402
 
-
 main()
--- a/tool/generate_rpc.py
+++ b/tool/generate_rpc.py
@@ -11,7 +11,6 @@
 import grpc_tools
 from grpc_tools import protoc
 
-
 PACKAGE = Path("src/hoisthook/rpc")
 
 
--- a/tool/prove.py
+++ b/tool/prove.py
@@ -20,7 +20,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-
 ROOT = Path(__file__).parent.parent
 PARALLEL = 3
 TIMEOUT_SECONDS = 240
