--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
@@ -21,10 +22,9 @@
     monkeypatch.setattr(backend_server_state, "COLD_SECONDS", 0.001)
 
 
-@pytest_asyncio.fixture
-async def patient_system(warm_backend_servers: None) -> AsyncIterator[System]:
-    """Give a system whose deadlines pass on no machine, however busy."""
-    system = System(timeout_ms=60_000)
+@asynccontextmanager
+async def running(system: System) -> AsyncIterator[System]:
+    """Start a system and close it whatever happens."""
     try:
         await system.start()
         yield system
@@ -32,23 +32,22 @@
         await system.close()
 
 
+@pytest_asyncio.fixture
+async def patient_system(warm_backend_servers: None) -> AsyncIterator[System]:
+    """Give a system whose deadlines pass on no machine, however busy."""
+    async with running(System(timeout_ms=60_000)) as system:
+        yield system
+
+
 @pytest_asyncio.fixture
 async def unhedged_system(warm_backend_servers: None) -> AsyncIterator[System]:
     """Give a system whose retry budget no hedge spends."""
     spec = ServiceSpec(SERVICE, timeout_ms=TIMEOUT_MS, measure_per_second=0, hedge=False)
-    system = System(spec=spec)
-    try:
-        await system.start()
+    async with running(System(spec=spec)) as system:
         yield system
-    finally:
-        await system.close()
 
 
 @pytest_asyncio.fixture
 async def system(warm_backend_servers: None) -> AsyncIterator[System]:
-    system = System()
-    try:
-        await system.start()
+    async with running(System()) as system:
         yield system
-    finally:
-        await system.close()
