--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -16,6 +16,9 @@
     from hoisthook.identity import Address
 
 HEAD_TIMEOUT_SECONDS = 10.0
+# Beyond the time for which any client pool of ours keeps a connection.
+IDLE_TIMEOUT_SECONDS = 60.0
+MAX_HEAD_BYTES = 32 * 1024
 LEAVE_GRACE_SECONDS = 0.3
 MAX_CONNECTIONS = 4096
 BACKLOG = 1024
@@ -31,11 +34,18 @@
     handler : Handler
         Awaited once for each request.
     head_timeout : float
-        Seconds within which a request's head must have arrived.
+        Seconds within which a head that has begun must be whole.
+    idle_timeout : float
+        Seconds after which a connection without a request is closed.
     """
 
     def __init__(
-        self, address: Address, handler: Handler, *, head_timeout: float = HEAD_TIMEOUT_SECONDS
+        self,
+        address: Address,
+        handler: Handler,
+        *,
+        head_timeout: float = HEAD_TIMEOUT_SECONDS,
+        idle_timeout: float = IDLE_TIMEOUT_SECONDS,
     ) -> None:
         self._address = address
         self._server: asyncio.Server | None = None
@@ -46,6 +56,8 @@
         self.handler = handler
         self.stopping = False
         self.head_timeout = head_timeout
+        self.idle_timeout = idle_timeout
+        self.max_head_bytes = MAX_HEAD_BYTES
 
     @property
     def address(self) -> Address:
--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -35,6 +35,9 @@
         self._headers: list[Header] = []
         self._head_bytes = 0
         self._bodyless = False
+        self._accepts: Callable[[AnswerHead], bool] | None = None
+        self._skipping = False
+        self._ends_with_connection = False
         self._interim = False
         self._whole = False
         self._surplus = False
@@ -49,7 +52,10 @@
     @property
     def reusable(self) -> bool:
         """Return whether another exchange may use the connection."""
-        return self._whole and not self._surplus and not self.closed
+        if not self._whole or self._surplus or self.closed or self._transport is None:
+            return False
+        # Bytes of a request that was answered early would be taken for the next one.
+        return self._transport.get_write_buffer_size() == 0
 
     @property
     def is_open(self) -> bool:
@@ -60,7 +66,13 @@
         """Take the transport."""
         self._transport = cast("asyncio.Transport", transport)
 
-    def send(self, data: bytes, *, bodyless_answer: bool = False) -> asyncio.Future[AnswerHead]:
+    def send(
+        self,
+        data: bytes,
+        *,
+        bodyless_answer: bool = False,
+        accepts: Callable[[AnswerHead], bool] | None = None,
+    ) -> asyncio.Future[AnswerHead]:
         """Start an exchange with the first bytes of a request.
 
         Parameters
@@ -69,6 +81,9 @@
             The head and what is there of the body.
         bodyless_answer : bool
             Whether the answer has no body whatever its headers say (HEAD).
+        accepts : callable, optional
+            Tells whether an answer belongs to this request; one that does not is
+            passed over, and the next is awaited.
 
         Returns
         -------
@@ -80,6 +95,9 @@
         self._headers = []
         self._head_bytes = 0
         self._bodyless = bodyless_answer
+        self._accepts = accepts
+        self._skipping = False
+        self._ends_with_connection = False
         self._whole = False
         self.exchanges += 1
         self.body = BodyStream(self)
@@ -127,7 +145,12 @@
             self.close()
 
     def eof_received(self) -> None:
-        """Take the connection out of use before the loop gets to closing it."""
+        """Take the connection out of use before the loop gets to closing it.
+
+        The end of the stream, unlike a reset, is the end of an answer without framing.
+        """
+        if self._ends_with_connection and not self._whole:
+            self._end_exchange(keep=False)
         self._lose("connection ended by the other side")
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -160,21 +183,30 @@
         if self._interim:
             self._headers = []
             return
+        head = AnswerHead(status, self._headers)
+        if self._accepts is not None and not self._accepts(head):
+            self._skipping = True
+            return
+        self._ends_with_connection = not self._bodyless and not head.is_framed
         waiter = self._head_waiter
         if waiter is not None and not waiter.done():
-            waiter.set_result(AnswerHead(status, self._headers))
+            waiter.set_result(head)
         if self._bodyless:
             self._end_exchange(keep=False)
 
     def on_body(self, data: bytes) -> None:
         """Hand over a piece of the body (parser callback)."""
-        if not self._whole:
+        if not self._whole and not self._skipping:
             self.body.feed(data)
 
     def on_message_complete(self) -> None:
         """Note the end of the answer (parser callback)."""
         if self._interim or self._whole:
             return
+        if self._skipping:
+            self._skipping = False
+            self._headers = []
+            return
         assert self._parser is not None
         self._end_exchange(keep=self._parser.should_keep_alive())
 
--- a/src/hoisthook/adapter/http/client_pool.py
+++ b/src/hoisthook/adapter/http/client_pool.py
@@ -18,11 +18,18 @@
 class ClientPool:
     """Connections kept for reuse, the most recently used first.
 
-    A connection that has been idle for `IDLE_LIMIT_SECONDS` is dropped rather
-    than used, well before the other side would drop it.
+    A connection that has been idle for too long is dropped rather than used, well
+    before the other side would drop it.
+
+    Parameters
+    ----------
+    idle_limit : float
+        Seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, idle_limit: float = IDLE_LIMIT_SECONDS) -> None:
+        self._idle_limit = idle_limit
+        self.opened = 0
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         self._closed = False
 
@@ -36,7 +43,7 @@
             connection = idle.pop()
             if connection.closed:
                 continue
-            if now - connection.idle_since > IDLE_LIMIT_SECONDS:
+            if now - connection.idle_since > self._idle_limit:
                 connection.close()
                 continue
             return connection
@@ -52,6 +59,7 @@
             If it is refused or not open within ``timeout`` seconds.
         """
         loop = asyncio.get_running_loop()
+        self.opened += 1
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(ClientConnection, *address)
@@ -93,7 +101,7 @@
             for connection in self._idle_by_address[address]:
                 if connection.closed:
                     continue
-                if now - connection.idle_since > IDLE_LIMIT_SECONDS:
+                if now - connection.idle_since > self._idle_limit:
                     connection.close()
                     continue
                 kept.append(connection)
--- a/src/hoisthook/adapter/http/message.py
+++ b/src/hoisthook/adapter/http/message.py
@@ -21,6 +21,8 @@
         b"expect",
     }
 )
+FRAMING = frozenset({b"content-length", b"transfer-encoding"})
+BODYLESS_STATUSES = frozenset({204, 304})
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -44,6 +46,13 @@
     status: int
     headers: list[Header]
 
+    @property
+    def is_framed(self) -> bool:
+        """Return whether the answer's end shows before the connection's end."""
+        if self.status in BODYLESS_STATUSES:
+            return True
+        return any(name in FRAMING for name, _ in self.headers)
+
     def get(self, name: bytes) -> bytes | None:
         """Return the first value of ``name``, or None."""
         return first_value(self.headers, name)
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -23,7 +23,6 @@
 
     Handler = Callable[[ServerExchange], Awaitable[None]]
 
-MAX_HEAD_BYTES = 32 * 1024
 MAX_PIPELINED = 8
 
 
@@ -33,6 +32,8 @@
     handler: Handler
     stopping: bool
     head_timeout: float
+    idle_timeout: float
+    max_head_bytes: int
 
     def opened(self, connection: ServerConnection) -> None:
         """Count the connection in."""
@@ -84,14 +85,13 @@
         self._transport = cast("asyncio.Transport", transport)
         self.peer = transport.get_extra_info("peername") or ("", 0)
         self._owner.opened(self)
-        self._arm_timer()
+        # The first head is awaited from here on, so a silent connection is closed by its timeout.
+        self._timer = self._loop.call_later(self._owner.head_timeout, self._idle_over)
 
     def data_received(self, data: bytes) -> None:
         """Parse request bytes."""
         if self._refused is not None:
             return
-        if self._timer is None and self._incoming is None and not self._queue:
-            self._arm_timer()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -112,6 +112,8 @@
 
     def on_message_begin(self) -> None:
         """Start collecting a head (parser callback)."""
+        self._disarm_timer()
+        self._timer = self._loop.call_later(self._owner.head_timeout, self._head_late)
         self._target = b""
         self._headers = []
         self._head_bytes = 0
@@ -185,6 +187,8 @@
             self._start_next()
         elif self._refused is not None:
             self._answer_refusal(self._refused)
+        elif self._timer is None:
+            self._arm_idle_timer()
 
     def _start_next(self) -> None:
         if self._queue and not self.lost:
@@ -207,7 +211,7 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > self._owner.max_head_bytes:
             self._refused = ResultCode.REQUEST_TOO_LARGE
             raise ValueError("request head too large")
 
@@ -226,8 +230,8 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _arm_timer(self) -> None:
-        self._timer = self._loop.call_later(self._owner.head_timeout, self._head_late)
+    def _arm_idle_timer(self) -> None:
+        self._timer = self._loop.call_later(self._owner.idle_timeout, self._idle_over)
 
     def _disarm_timer(self) -> None:
         if self._timer is not None:
@@ -236,7 +240,13 @@
 
     def _head_late(self) -> None:
         self._timer = None
-        if self._head_bytes and not self.busy:
+        if not self.busy:
             self._refuse(ResultCode.REQUEST_TIMEOUT)
-        elif not self.busy and self._transport is not None:
+        elif self._transport is not None and self._incoming is None:
+            # A later request has begun behind one that still runs and will be refused after it.
+            self._refused = ResultCode.REQUEST_TIMEOUT
+
+    def _idle_over(self) -> None:
+        self._timer = None
+        if not self.busy and self._transport is not None:
             self._transport.close()
--- a/src/hoisthook/exceptions.py
+++ b/src/hoisthook/exceptions.py
@@ -37,6 +37,10 @@
     """The platform's log may or may not have taken the record."""
 
 
+class StoreUnavailableError(HoisthookError):
+    """The platform's store gave no usable answer."""
+
+
 class BrokenExchangeError(Exception):
     """An HTTP exchange ended before its message was whole."""
 
--- a/src/hoisthook/identity.py
+++ b/src/hoisthook/identity.py
@@ -8,6 +8,8 @@
 NodeId = NewType("NodeId", str)
 Incarnation = NewType("Incarnation", str)
 ServiceName = NewType("ServiceName", str)
+RouteName = NewType("RouteName", str)
+InstanceId = NewType("InstanceId", str)
 BackendServerId = NewType("BackendServerId", str)
 DataCentre = NewType("DataCentre", str)
 CallerId = NewType("CallerId", str)
--- /dev/null
+++ b/src/hoisthook/mesh/backend_link.py
@@ -0,0 +1,356 @@
+"""Runs requests at the backend server beside, or says truthfully that they were not run."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hoisthook.admission.priority_gate import PriorityGate
+from hoisthook.admission.service_time import ServiceTime
+from hoisthook.exceptions import UnreachableError
+from hoisthook.mesh.backend_belief import BackendBelief
+from hoisthook.mesh.backend_belief import BackendState
+from hoisthook.mesh.beside_load import BesideLoad
+from hoisthook.mesh.hop_header import Admission
+from hoisthook.mesh.outcome import WholeAnswer
+from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.port.backend_wire import AnswerKind
+from hoisthook.port.backend_wire import BackendRequestHead
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.identity import Address
+    from hoisthook.identity import InstanceId
+    from hoisthook.identity import RouteName
+    from hoisthook.measure.measure_budget import MeasureBudget
+    from hoisthook.mesh.backend_belief import Announcement
+    from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.port.backend_wire import BackendWire
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+
+# The backend server is on the same instance, where a connection takes about a millisecond.
+CONNECT_SECONDS = 0.1
+# How long a backend server that refuses connections is left alone.
+UNREACHABLE_SECONDS = 0.3
+DRAINING_RETRY_SECONDS = 1.0
+# A load report older than this is renewed before a request is admitted by it: load shifts
+# every few hundred milliseconds, so this one still holds for most of them.
+LOAD_MAX_AGE_SECONDS = 0.1
+PROBE_SECONDS = 0.05
+# Slower than this is not normal variation.
+SLOW_FACTOR = 1.7
+# Assumed until the first load report or announcement.
+DEFAULT_SLOTS = 4
+# A first guess of how long work takes, as a share of the target latency.
+WORK_SHARE_OF_TARGET = 0.3
+FAILURE_STATUS = 500
+MIN_RETRY_AFTER_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class LinkSettings:
+    """How the backend server beside is used.
+
+    Attributes
+    ----------
+    usable_share : float
+        Share of its slots that is used; beyond it work there slows down.
+    """
+
+    usable_share: float
+
+
+class BackendLink:
+    """Admission to one backend server and the exchanges with it.
+
+    Parameters
+    ----------
+    address : Address
+        Where it listens.
+    wire : BackendWire
+        How it is spoken to.
+    pool : ClientPool
+        Connections to it.
+    clock : Clock
+        Monotonic, the loop's own.
+    budget : MeasureBudget
+        Bounds the reads of its load.
+    settings : LinkSettings
+        How it is used.
+    log : EventLog
+        Gets a line for each refusal and each loss.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        wire: BackendWire,
+        pool: ClientPool,
+        clock: Clock,
+        budget: MeasureBudget,
+        settings: LinkSettings,
+        log: EventLog,
+    ) -> None:
+        self._address = address
+        self._wire = wire
+        self._pool = pool
+        self._clock = clock
+        self._budget = budget
+        self._settings = settings
+        self._log = log
+        self._probe: asyncio.Task[None] | None = None
+        self._work_by_route: dict[RouteName, ServiceTime] = {}
+        self.belief = BackendBelief(log)
+        self.gate = PriorityGate(DEFAULT_SLOTS)
+        self.health_path: str | None = None
+        self.stopping = False
+
+    def announced(self, announcement: Announcement) -> None:
+        """Take in an announcement of the backend server."""
+        self.belief.announced(announcement, self._clock.now())
+        self._adapt()
+
+    def deregistered(self, instance: InstanceId) -> None:
+        """Take in that an incarnation of the backend server has left."""
+        self.belief.deregistered(instance)
+        self._adapt()
+
+    def load(self) -> BesideLoad:
+        """Return the load as it is now."""
+        return BesideLoad(
+            running=self.gate.running,
+            waiting=self.gate.waiting,
+            limit=self.gate.limit,
+            slowdown=self.belief.slowdown,
+            failing=self.belief.failing,
+        )
+
+    async def run(self, call: RoutedCall, admission: Admission, max_wait: float) -> Outcome:
+        """Run a request.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            What to run.
+        admission : Admission
+            Whether it may wait and run slowly.
+        max_wait : float
+            Seconds to wait for a slot at most.
+        """
+        await self._refresh_load(admission)
+        refused = self._refuse(call, admission, max_wait)
+        if refused is None:
+            wait = max_wait if admission is Admission.QUEUE else 0.0
+            if await self.gate.enter(call.priority, wait):
+                return await self._run_admitted(call)
+            refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
+        self._log_refusal(call, admission, refused)
+        return refused
+
+    async def probe(self) -> None:
+        """Read the backend server's health once; several callers share one read."""
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.get_running_loop().create_task(self._read_health())
+        await asyncio.shield(self._probe)
+
+    def close(self) -> None:
+        """Stop a read of the load that is under way."""
+        if self._probe is not None:
+            self._probe.cancel()
+
+    def _refuse(self, call: RoutedCall, admission: Admission, max_wait: float) -> Refused | None:
+        now = self._clock.now()
+        belief = self.belief
+        if self.stopping:
+            return Refused(ResultCode.NODE_STOPPING, DRAINING_RETRY_SECONDS)
+        if not belief.takes_work:
+            return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
+        if now < belief.closed_until:
+            return Refused(ResultCode.UNREACHABLE, belief.closed_until - now)
+        if call.time_left(now) <= 0:
+            return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+        if admission is Admission.DIRECT:
+            return self._refuse_direct(call, now)
+        if self._expected_wait(call) > max_wait:
+            return Refused(ResultCode.SLOTS_FULL, self._time_to_slot(call))
+        return None
+
+    def _refuse_direct(self, call: RoutedCall, now: float) -> Refused | None:
+        if not self.gate.has_room:
+            return Refused(ResultCode.SLOTS_FULL, self._time_to_slot(call))
+        expected = self._work(call) * self.belief.slowdown
+        if self.belief.slowdown >= SLOW_FACTOR and expected > call.target_left(now):
+            return Refused(ResultCode.BACKEND_SERVER_SLOW, LOAD_MAX_AGE_SECONDS)
+        return None
+
+    async def _run_admitted(self, call: RoutedCall) -> Outcome:
+        try:
+            # The state may have changed while the request waited for its slot.
+            if not self.belief.takes_work:
+                return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
+            connection = await self._connect(call)
+            if isinstance(connection, Refused):
+                return connection
+            return await self._exchange(call, connection)
+        finally:
+            self.gate.leave()
+
+    async def _connect(self, call: RoutedCall) -> ClientConnection | Refused:
+        connection = self._pool.take_idle(self._address)
+        if connection is not None:
+            return connection
+        try:
+            return await self._pool.open(self._address, CONNECT_SECONDS)
+        except UnreachableError:
+            self.belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
+            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_SECONDS)
+
+    async def _exchange(self, call: RoutedCall, connection: ClientConnection) -> Outcome:
+        started = self._clock.now()
+        slowdown = self.belief.slowdown
+        instance = self.belief.instance
+        time_left = call.time_left(started)
+        if time_left <= 0:
+            self._pool.keep(self._address, connection)
+            return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+        added = self._wire.added_headers(
+            BackendRequestHead(instance, call.caller_service, time_left)
+        )
+        answered = await exchange_whole(
+            connection,
+            call.method,
+            call.target,
+            [*call.headers, *added],
+            call.body,
+            timeout=time_left,
+            accepts=lambda head: self._wire.answers(head, call.request_id),
+        )
+        took = self._clock.now() - started
+        if isinstance(answered, Lost):
+            if answered.code is not ResultCode.DEADLINE_DURING_RUN:
+                self.belief.answered(failed=True)
+            self._log.decision(
+                "backend_lost", request=call.request_id, code=answered.code.number, instance=instance
+            )
+            return answered
+        self._pool.keep(self._address, connection)
+        head, body = answered
+        outcome = self._read_answer(call, head, body)
+        if isinstance(outcome, WholeAnswer) and outcome.status < FAILURE_STATUS:
+            self._learn_work(call, took / max(1.0, slowdown))
+        return outcome
+
+    def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
+        reading = self._wire.read(head)
+        if reading.load is not None:
+            self.belief.loaded(reading.load, self._clock.now())
+            self._adapt()
+        match reading.kind:
+            case AnswerKind.OTHER_INSTANCE:
+                if reading.instance is not None:
+                    self.belief.answered_as(reading.instance)
+                return Refused(ResultCode.BACKEND_SERVER_REPLACED, MIN_RETRY_AFTER_SECONDS)
+            case AnswerKind.NOT_RUN:
+                return Refused(ResultCode.BACKEND_SERVER_SHED, self._time_to_slot(call))
+            case AnswerKind.SPOILED:
+                self.belief.answered(failed=True)
+                self._log.decision(
+                    "backend_spoiled", request=call.request_id, status=head.status, bytes=len(body)
+                )
+                return Lost(ResultCode.ANSWER_SPOILED)
+            case AnswerKind.OWN:
+                self.belief.answered(failed=head.status >= FAILURE_STATUS)
+                return WholeAnswer(head.status, reading.headers, body)
+
+    async def _refresh_load(self, admission: Admission) -> None:
+        now = self._clock.now()
+        belief = self.belief
+        unknown = belief.state is BackendState.UNKNOWN
+        stale = now - belief.load_at > LOAD_MAX_AGE_SECONDS
+        if not unknown and (not stale or admission is Admission.QUEUE or not belief.takes_work):
+            return
+        if self._probe is not None and not self._probe.done():
+            await self.probe()
+        elif unknown or self._budget.take(now):
+            await self.probe()
+
+    async def _read_health(self) -> None:
+        if self.health_path is None:
+            return
+        try:
+            connection = await self._pool.acquire(self._address, CONNECT_SECONDS)
+        except UnreachableError:
+            self.belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
+            return
+        host = f"{self._address[0]}:{self._address[1]}".encode()
+        answered = await exchange_whole(
+            connection,
+            b"GET",
+            self.health_path.encode(),
+            [(b"host", host)],
+            b"",
+            timeout=PROBE_SECONDS,
+        )
+        if isinstance(answered, Lost):
+            self._log.event("health_unanswered", instance=self.belief.instance)
+            return
+        self._pool.keep(self._address, connection)
+        head, _ = answered
+        reading = self._wire.read(head)
+        if reading.instance is not None and head.status < FAILURE_STATUS:
+            self.belief.answered_as(reading.instance)
+        elif head.status >= FAILURE_STATUS:
+            self.belief.refused_health()
+        if reading.load is not None:
+            self.belief.loaded(reading.load, self._clock.now())
+            self._adapt()
+
+    def _adapt(self) -> None:
+        slots = self.belief.slots or DEFAULT_SLOTS
+        limit = max(1, int(slots * self._settings.usable_share))
+        if limit != self.gate.limit:
+            self.gate.set_limit(limit)
+        if not self.belief.takes_work:
+            self.gate.refuse_waiting()
+
+    def _work(self, call: RoutedCall) -> float:
+        known = self._work_by_route.get(call.route)
+        if known is None or not known.known:
+            return call.target_latency * WORK_SHARE_OF_TARGET
+        return known.typical
+
+    def _learn_work(self, call: RoutedCall, seconds: float) -> None:
+        self._work_by_route.setdefault(call.route, ServiceTime()).add(seconds)
+
+    def _expected_wait(self, call: RoutedCall) -> float:
+        if self.gate.has_room:
+            return 0.0
+        ahead = self.gate.waiting_before(call.priority) + 1
+        return ahead * self._work(call) * self.belief.slowdown / self.gate.limit
+
+    def _time_to_slot(self, call: RoutedCall) -> float:
+        return max(MIN_RETRY_AFTER_SECONDS, self._expected_wait(call))
+
+    def _log_refusal(self, call: RoutedCall, admission: Admission, refused: Refused) -> None:
+        now = self._clock.now()
+        self._log.decision(
+            "not_admitted",
+            request=call.request_id,
+            code=refused.code.number,
+            admission=admission.name.lower(),
+            running=self.gate.running,
+            waiting=self.gate.waiting,
+            limit=self.gate.limit,
+            slowdown=self.belief.slowdown,
+            load_age_ms=round((now - self.belief.load_at) * 1000.0, 1),
+            state=self.belief.state.value,
+        )
--- /dev/null
+++ b/src/hoisthook/mesh/entry.py
@@ -0,0 +1,205 @@
+"""Takes callers' requests, routes them, and answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.mesh.outcome import WholeAnswer
+from hoisthook.mesh.routed_call import RoutedCall
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.result_code import Ran
+from hoisthook.result_code import ResultCode
+from hoisthook.traffic.part_choice import PartChoice
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.identity import ServiceName
+    from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
+    from hoisthook.port.caller_wire import CallerRequest
+    from hoisthook.port.caller_wire import CallerWire
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+    from hoisthook.traffic.configuration_holder import ConfigurationHolder
+    from hoisthook.traffic.route import Route
+    from hoisthook.traffic.traffic_configuration import TrafficConfiguration
+
+# A configuration reaches a node within a second or so of its start.
+NO_CONFIGURATION_RETRY_SECONDS = 0.3
+# Used where operators set no bound: the largest body that a node holds.
+DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
+
+
+class Entry:
+    """The node's side towards callers.
+
+    Parameters
+    ----------
+    service : ServiceName
+        The service beside which these callers are.
+    wire : CallerWire
+        How they speak.
+    configuration : ConfigurationHolder
+        The routes.
+    dispatcher : RoutedDispatcher
+        Runs requests.
+    clock : Clock
+        Monotonic, the loop's own.
+    log : EventLog
+        Gets a line for each request.
+    """
+
+    def __init__(
+        self,
+        service: ServiceName,
+        wire: CallerWire,
+        configuration: ConfigurationHolder,
+        dispatcher: RoutedDispatcher,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._service = service
+        self._wire = wire
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._log = log
+        self._parts = PartChoice()
+
+    async def handle(self, exchange: ServerExchange) -> None:
+        """Serve one request of a caller."""
+        received = self._clock.now()
+        request = self._wire.decode(exchange.head)
+        if isinstance(request, ResultCode):
+            self._refuse(exchange, Refused(request, 0.0))
+            return
+        configuration = self._configuration.current
+        if configuration is None:
+            refused = Refused(
+                ResultCode.CONFIGURATION_MISSING, NO_CONFIGURATION_RETRY_SECONDS
+            )
+            self._conclude(exchange, request, refused, received)
+            return
+        route = configuration.table.match(request.host, request.path)
+        if route is None:
+            refused = Refused(ResultCode.ROUTE_UNKNOWN, 0.0)
+            self._conclude(
+                exchange, request, refused, received, configuration=configuration.version
+            )
+            return
+        await self._serve(exchange, request, route, configuration, received)
+
+    async def _serve(
+        self,
+        exchange: ServerExchange,
+        request: CallerRequest,
+        route: Route,
+        configuration: TrafficConfiguration,
+        received: float,
+    ) -> None:
+        time_left = route.timeout
+        if request.time_left is not None:
+            time_left = min(time_left, request.time_left)
+        call: RoutedCall | None = None
+        sent = False
+        try:
+            async with asyncio.timeout(time_left):
+                body = await _read_body(exchange, configuration)
+                if isinstance(body, Refused):
+                    self._conclude(exchange, request, body, received, route=route.name)
+                    return
+                call = self._call(exchange, request, route, body, received, time_left)
+                sent = True
+                done = await self._dispatcher.dispatch(call)
+        except BrokenExchangeError:
+            exchange.abort()
+            return
+        except TimeoutError:
+            late = Lost(ResultCode.DEADLINE_DURING_RUN)
+            outcome = late if sent else Refused(ResultCode.REQUEST_TIMEOUT, 0.0)
+            self._conclude(exchange, request, outcome, received, route=route.name)
+            return
+        self._conclude(
+            exchange,
+            request,
+            done.outcome,
+            received,
+            route=route.name,
+            service=call.service,
+            configuration=configuration.version,
+            tries=done.tries,
+            ran=done.ran,
+            node=done.node,
+        )
+
+    def _call(
+        self,
+        exchange: ServerExchange,
+        request: CallerRequest,
+        route: Route,
+        body: bytes,
+        received: float,
+        time_left: float,
+    ) -> RoutedCall:
+        return RoutedCall(
+            request_id=request.request_id,
+            route=route.name,
+            service=self._parts.choose(route),
+            caller_service=self._service,
+            method=exchange.head.method,
+            target=exchange.head.target,
+            headers=request.headers,
+            body=body,
+            received=received,
+            deadline=received + time_left,
+            target_latency=route.target_latency,
+            priority=route.priority,
+            repeatable=route.repeatable,
+            max_attempts=route.max_attempts,
+        )
+
+    def _conclude(
+        self,
+        exchange: ServerExchange,
+        request: CallerRequest,
+        outcome: WholeAnswer | Refused | Lost,
+        received: float,
+        **fields: object,
+    ) -> None:
+        code = ResultCode.OK
+        if isinstance(outcome, WholeAnswer):
+            exchange.respond(outcome.status, outcome.headers, outcome.body)
+            fields["status"] = outcome.status
+        else:
+            code = outcome.code
+            self._refuse(exchange, outcome)
+        self._log.decision(
+            "answered",
+            request=request.request_id,
+            code=code.number,
+            took_ms=round((self._clock.now() - received) * 1000.0, 1),
+            **fields,
+        )
+
+    def _refuse(self, exchange: ServerExchange, outcome: Refused | Lost) -> None:
+        retry_after = 0.0
+        if isinstance(outcome, Refused):
+            assert outcome.code.ran is Ran.NOT_RUN
+            retry_after = outcome.retry_after
+        refusal = self._wire.refusal(outcome.code, retry_after)
+        exchange.respond(refusal.status, refusal.headers, refusal.body)
+
+
+async def _read_body(
+    exchange: ServerExchange, configuration: TrafficConfiguration
+) -> bytes | Refused:
+    limits = configuration.limits
+    bound = DEFAULT_MAX_BODY_BYTES if limits is None else limits.max_body_bytes
+    data = b""
+    while chunk := await exchange.body.read():
+        data += chunk
+        if len(data) > bound:
+            return Refused(ResultCode.BODY_TOO_LARGE, 0.0)
+    return data
--- /dev/null
+++ b/src/hoisthook/mesh/hop_header.py
@@ -0,0 +1,105 @@
+"""The headers between the node that took a request and the node beside its backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from hoisthook.identity import RequestId
+from hoisthook.identity import RouteName
+from hoisthook.identity import ServiceName
+
+HOP = b"hoisthook-hop"
+LOAD = b"hoisthook-load"
+RESULT = b"hoisthook-result"
+RETRY_AFTER_MS = b"hoisthook-retry-after-ms"
+FIELDS = 10
+MILLIS = 1000.0
+
+
+class Admission(Enum):
+    """How a node beside a backend server is to admit a request."""
+
+    DIRECT = "d"
+    """Only if it starts at once and is likely to end in time."""
+
+    QUEUE = "q"
+    """It may wait for a slot, and may run slowly."""
+
+
+@dataclass(frozen=True, slots=True)
+class HopHeader:
+    """What a node says of a request that it hands to another; times in seconds.
+
+    Attributes
+    ----------
+    service : ServiceName
+        Who is to run it; a node beside another service refuses.
+    caller_service : ServiceName
+        The service beside which the request began.
+    route : RouteName
+        By which its usual duration is learned.
+    request_id : RequestId
+        The caller's.
+    admission : Admission
+        Whether it may wait.
+    priority : int
+        Rank; 0 is the most urgent.
+    time_left : float
+        Until its deadline.
+    target_left : float
+        Until its target latency is over.
+    max_wait : float
+        How long it may wait for a slot.
+    configuration : int
+        Version in force at the sender.
+    """
+
+    service: ServiceName
+    caller_service: ServiceName
+    route: RouteName
+    request_id: RequestId
+    admission: Admission
+    priority: int
+    time_left: float
+    target_left: float
+    max_wait: float
+    configuration: int
+
+    def encode(self) -> bytes:
+        """Return the header's value; times in whole milliseconds."""
+        parts = (
+            self.service,
+            self.caller_service,
+            self.route,
+            self.request_id,
+            self.admission.value,
+            str(self.priority),
+            str(int(self.time_left * MILLIS)),
+            str(int(self.target_left * MILLIS)),
+            str(int(self.max_wait * MILLIS)),
+            str(self.configuration),
+        )
+        return " ".join(parts).encode("latin-1")
+
+    @classmethod
+    def decode(cls, value: bytes) -> HopHeader | None:
+        """Return the header, or None if the value is none."""
+        parts = value.decode("latin-1").split(" ")
+        if len(parts) != FIELDS:
+            return None
+        try:
+            return cls(
+                service=ServiceName(parts[0]),
+                caller_service=ServiceName(parts[1]),
+                route=RouteName(parts[2]),
+                request_id=RequestId(parts[3]),
+                admission=Admission(parts[4]),
+                priority=int(parts[5]),
+                time_left=int(parts[6]) / MILLIS,
+                target_left=int(parts[7]) / MILLIS,
+                max_wait=int(parts[8]) / MILLIS,
+                configuration=int(parts[9]),
+            )
+        except ValueError:
+            return None
--- /dev/null
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -0,0 +1,230 @@
+"""A node on the path of routed requests: its parts, put together, started and closed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from typing import TYPE_CHECKING
+
+from hoisthook.adapter.http.call_server import CallServer
+from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.identity import DataCentre
+from hoisthook.identity import NodeId
+from hoisthook.identity import ServiceName
+from hoisthook.identity import parse_address
+from hoisthook.measure.measure_budget import MeasureBudget
+from hoisthook.mesh.backend_link import BackendLink
+from hoisthook.mesh.backend_link import LinkSettings
+from hoisthook.mesh.configuration_watch import ConfigurationWatch
+from hoisthook.mesh.entry import Entry
+from hoisthook.mesh.hop_server import HopServer
+from hoisthook.mesh.peer import Peer
+from hoisthook.mesh.peer_choice import ChoiceSettings
+from hoisthook.mesh.peer_choice import PeerChoice
+from hoisthook.mesh.peer_directory import PeerDirectory
+from hoisthook.mesh.peer_hop import PeerHop
+from hoisthook.mesh.peer_sync import SYNC_PATH
+from hoisthook.mesh.peer_sync import PeerSync
+from hoisthook.mesh.registration import Registration
+from hoisthook.mesh.routed_dispatcher import RetrySettings
+from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
+from hoisthook.traffic.configuration_holder import ConfigurationHolder
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+    from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.mesh.peer_sync import ConfigurationDecoder
+    from hoisthook.port.backend_wire import BackendWire
+    from hoisthook.port.caller_wire import CallerWire
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+    from hoisthook.port.record_store import RecordStore
+    from hoisthook.settings.mesh_settings import MeshSettings
+    from hoisthook.traffic.traffic_configuration import TrafficConfiguration
+
+# Backend servers close idle connections after a few seconds; one kept for less is still open.
+BACKEND_IDLE_SECONDS = 4.0
+# Kept for less than the other node's server keeps it, see `CallServer`.
+PEER_IDLE_SECONDS = 30.0
+HOUSEKEEPING_SECONDS = 2.0
+# How long callers go on sending after readiness is withdrawn: two questions a second apart.
+LINGER_SECONDS = 2.6
+# Left of the grace for what the process does last.
+CLOSE_MARGIN_SECONDS = 0.5
+
+
+class MeshNode:
+    """One process beside one backend server, on the platform.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+        Checked.
+    caller_wire : CallerWire
+        How callers speak.
+    backend_wire : BackendWire
+        How the backend server is spoken to.
+    store : RecordStore
+        The platform's.
+    decode : ConfigurationDecoder
+        Reads what operators publish.
+    clock : Clock
+        Monotonic, the loop's own.
+    log : EventLog
+        Gets decisions and events.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        *,
+        caller_wire: CallerWire,
+        backend_wire: BackendWire,
+        store: RecordStore,
+        decode: ConfigurationDecoder,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self.settings = settings
+        self._log = log
+        self._clock = clock
+        self._tasks: list[asyncio.Task[None]] = []
+        self._randomness = random.Random(secrets.randbits(64))
+        self._backend_pool = ClientPool(idle_limit=BACKEND_IDLE_SECONDS)
+        self._peer_pool = ClientPool(idle_limit=PEER_IDLE_SECONDS)
+        self.stopping = False
+        self.configuration = ConfigurationHolder(log)
+        self.configuration.on_change(self._configured)
+        service = ServiceName(settings.node.service)
+        self.link = BackendLink(
+            parse_address(settings.backend_server.address),
+            wire=backend_wire,
+            pool=self._backend_pool,
+            clock=clock,
+            budget=MeasureBudget(settings.measure.per_second, clock.now()),
+            settings=LinkSettings(settings.backend_server.usable_share),
+            log=log,
+        )
+        self.directory = PeerDirectory(self._me(service), log)
+        self.sync = PeerSync(
+            self.directory, self.configuration, decode, self._peer_pool, self._randomness, log
+        )
+        self._registration = Registration(
+            self.directory,
+            store,
+            self.sync,
+            self._randomness,
+            log,
+            first_start=settings.node.first_start,
+        )
+        self._watch = ConfigurationWatch(
+            settings.store.configuration_topic,
+            settings.store.configuration_key,
+            store=store,
+            decode=decode,
+            holder=self.configuration,
+            sync=self.sync,
+            randomness=self._randomness,
+            log=log,
+        )
+        self._entry = self._make_entry(service, caller_wire)
+        self._hop_server = HopServer(service, self.link, self.sync, clock)
+        self._callers = CallServer(parse_address(settings.listen.callers), self._entry.handle)
+        self._peers = CallServer(parse_address(settings.listen.peers), self._serve_peer)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        return not self.stopping and self.configuration.current is not None
+
+    async def start(self) -> None:
+        """Open the sockets and begin to follow the store.
+
+        Raises
+        ------
+        HoisthookError
+            With ``PORT_UNAVAILABLE`` if an address cannot be opened.
+        """
+        await self._callers.start()
+        await self._peers.start()
+        self.sync.peer_port = self._peers.address[1]
+        self._run(self._watch.run(), self._registration.run(), self.sync.run(), self._housekeep())
+        self._log.event(
+            "started", service=self.settings.node.service, data_centre=self.directory.me.data_centre
+        )
+
+    async def close(self) -> bool:
+        """Leave: no new work at the backend server, then no new callers, then the end.
+
+        Returns
+        -------
+        bool
+            Whether every request in progress ended by itself.
+        """
+        self._log.event("stopping")
+        self.stopping = True
+        self._callers.stopping = True
+        self.link.stopping = True
+        self.link.gate.refuse_waiting()
+        await asyncio.sleep(LINGER_SECONDS)
+        left = self.settings.shutdown.grace_seconds - LINGER_SECONDS - CLOSE_MARGIN_SECONDS
+        ended = await asyncio.gather(self._callers.close(left), self._peers.close(left))
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.link.close()
+        self._backend_pool.close()
+        self._peer_pool.close()
+        self._log.event("stopped", whole=all(ended))
+        return all(ended)
+
+    def _me(self, service: ServiceName) -> Peer:
+        node = self.settings.node
+        return Peer(
+            node=NodeId(node.id),
+            address=self.settings.listen.peers,
+            service=service,
+            data_centre=DataCentre(node.data_centre),
+        )
+
+    def _make_entry(self, service: ServiceName, wire: CallerWire) -> Entry:
+        settings = self.settings
+        hop = PeerHop(
+            self._peer_pool, self.link, self.directory, self.sync, self._clock, self._log
+        )
+        choice = PeerChoice(
+            self.directory, ChoiceSettings(settings.routing.data_centre_cost), self._randomness
+        )
+        retry = RetrySettings(settings.retry.ratio, settings.retry.window_seconds, settings.retry.extra)
+        dispatcher = RoutedDispatcher(
+            choice, hop, self.directory, retry, self._clock, self._log
+        )
+        return Entry(service, wire, self.configuration, dispatcher, self._clock, self._log)
+
+    def _configured(self, configuration: TrafficConfiguration) -> None:
+        traits = configuration.traits_by_service.get(ServiceName(self.settings.node.service))
+        if traits is not None:
+            self.link.health_path = traits.health_path
+        limits = configuration.limits
+        if limits is not None:
+            self._callers.head_timeout = limits.head_timeout
+            self._callers.idle_timeout = limits.idle_timeout
+            self._callers.max_head_bytes = limits.max_head_bytes
+
+    async def _serve_peer(self, exchange: ServerExchange) -> None:
+        if exchange.head.target == SYNC_PATH:
+            await self.sync.answer(exchange)
+        else:
+            await self._hop_server.handle(exchange)
+
+    async def _housekeep(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self._backend_pool.drop_idle()
+            self._peer_pool.drop_idle()
+
+    def _run(self, *runs: Coroutine[object, object, None]) -> None:
+        loop = asyncio.get_running_loop()
+        self._tasks.extend(loop.create_task(run) for run in runs)
--- /dev/null
+++ b/src/hoisthook/mesh/outcome.py
@@ -0,0 +1,35 @@
+"""What can become of a request at a backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.message import Header
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A backend server's answer that arrived whole.
+
+    Attributes
+    ----------
+    status : int
+        Its own.
+    headers : list of Header
+        End to end, without the framing.
+    body : bytes
+        All of it.
+    """
+
+    status: int
+    headers: list[Header]
+    body: bytes
+
+
+Outcome = WholeAnswer | Refused | Lost
+"""Answered; truly not run; or sent, with nothing known of what became of it."""
--- /dev/null
+++ b/src/hoisthook/mesh/peer.py
@@ -0,0 +1,117 @@
+"""Another node, and what this node believes of its load."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+
+from hoisthook.identity import Address
+from hoisthook.identity import DataCentre
+from hoisthook.identity import NodeId
+from hoisthook.identity import ServiceName
+from hoisthook.identity import parse_address
+from hoisthook.mesh.beside_load import BesideLoad
+
+# How fast a load report loses its value: load shifts every few hundred milliseconds.
+REPORT_LIFE_SECONDS = 0.3
+# What is assumed where no report holds any more.
+USUAL_SLOWDOWN = 1.5
+USUAL_LOAD_SHARE = 0.3
+FIRST_BACKOFF_SECONDS = 0.25
+MAX_BACKOFF_SECONDS = 4.0
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """A node as it registers itself.
+
+    Attributes
+    ----------
+    node : NodeId
+        Its id.
+    address : str
+        Where other nodes reach it, ``host:port``.
+    service : ServiceName
+        What the backend server beside it serves.
+    data_centre : DataCentre
+        Where it stands.
+    """
+
+    node: NodeId
+    address: str
+    service: ServiceName
+    data_centre: DataCentre
+
+
+class PeerView:
+    """A peer with its last load report and what this node has under way there.
+
+    Parameters
+    ----------
+    peer : Peer
+        Who.
+    is_self : bool
+        Whether it is this node.
+    same_data_centre : bool
+        Whether it stands in this node's data centre.
+    """
+
+    def __init__(self, peer: Peer, *, is_self: bool, same_data_centre: bool) -> None:
+        self.peer = peer
+        self.is_self = is_self
+        self.same_data_centre = same_data_centre
+        self.address: Address = parse_address(peer.address)
+        self.in_flight = 0
+        self.closed_until = -math.inf
+        self.load: BesideLoad | None = None
+        self.load_at = -math.inf
+        self._sent_since = 0
+        self._backoff = FIRST_BACKOFF_SECONDS
+
+    def sent(self) -> None:
+        """Note a request sent there."""
+        self.in_flight += 1
+        self._sent_since += 1
+
+    def ended(self) -> None:
+        """Note that a request sent there is over."""
+        self.in_flight -= 1
+
+    def reported(self, load: BesideLoad, now: float) -> None:
+        """Take in a load report; the peer can be reached."""
+        self.load = load
+        self.load_at = now
+        self._sent_since = 0
+        self._backoff = FIRST_BACKOFF_SECONDS
+
+    def unreachable(self, now: float) -> float:
+        """Leave the peer alone for a while that doubles; return the seconds."""
+        seconds = self._backoff
+        self.closed_until = now + seconds
+        self._backoff = min(MAX_BACKOFF_SECONDS, seconds * 2)
+        return seconds
+
+    def close_until(self, moment: float) -> None:
+        """Send nothing there before ``moment`` unless nothing else is left."""
+        self.closed_until = max(self.closed_until, moment)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the last report."""
+        return now - self.load_at
+
+    def expected_slowdown(self, now: float) -> float:
+        """Return the slowdown to expect; an old report fades towards the usual."""
+        if self.load is None:
+            return USUAL_SLOWDOWN
+        weight = math.exp(-self.age(now) / REPORT_LIFE_SECONDS)
+        return weight * self.load.slowdown + (1.0 - weight) * USUAL_SLOWDOWN
+
+    def expected_load_share(self, now: float) -> float:
+        """Return the share of its slots to expect in use."""
+        if self.load is None:
+            return USUAL_LOAD_SHARE
+        weight = math.exp(-self.age(now) / REPORT_LIFE_SECONDS)
+        limit = max(1, self.load.limit)
+        reported = (self.load.running + self.load.waiting + self._sent_since) / limit
+        usual = max(USUAL_LOAD_SHARE, self.in_flight / limit)
+        return weight * reported + (1.0 - weight) * usual
--- /dev/null
+++ b/src/hoisthook/mesh/peer_choice.py
@@ -0,0 +1,124 @@
+"""Which node a request is sent to next."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hoisthook.mesh.backend_link import SLOW_FACTOR
+from hoisthook.mesh.backend_link import WORK_SHARE_OF_TARGET
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterator
+
+    from hoisthook.identity import NodeId
+    from hoisthook.mesh.peer import PeerView
+    from hoisthook.mesh.peer_directory import PeerDirectory
+    from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.port.clock import Randomness
+
+# A report this fresh is believed when it says that a peer would refuse.
+FRESH_SECONDS = 0.08
+# Scores this near to the best are as good; the choice among them is drawn.
+TOLERANCE = 0.05
+# What a failing backend server adds to its score for each share of failed answers.
+FAILING_WEIGHT = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceSettings:
+    """What a choice weighs.
+
+    Attributes
+    ----------
+    data_centre_cost : float
+        What a request to another data centre costs, as a share of its target latency.
+    """
+
+    data_centre_cost: float
+
+
+class PeerChoice:
+    """The node with the least expected time, in shares of the target latency.
+
+    Parameters
+    ----------
+    directory : PeerDirectory
+        Who is there.
+    settings : ChoiceSettings
+        What is weighed.
+    randomness : Randomness
+        Draws among equals.
+    """
+
+    def __init__(
+        self, directory: PeerDirectory, settings: ChoiceSettings, randomness: Randomness
+    ) -> None:
+        self._directory = directory
+        self._settings = settings
+        self._randomness = randomness
+
+    def direct(self, call: RoutedCall, tried: Collection[NodeId], now: float) -> PeerView | None:
+        """Return an open node that is likely to start the request at once, or None."""
+        views = [
+            view
+            for view in self._open(call, tried, now)
+            if not _would_refuse(view, call, now)
+        ]
+        return self._best(views, call, now)
+
+    def queue(self, call: RoutedCall, left_out: Collection[NodeId], now: float) -> PeerView | None:
+        """Return the node at which the request is likely to end first, or None.
+
+        Nodes that were closed for a while are taken if no other is left.
+        """
+        views = list(self._open(call, left_out, now))
+        if not views:
+            views = [
+                view
+                for view in self._directory.serving(call.service)
+                if view.peer.node not in left_out
+            ]
+        return self._best(views, call, now)
+
+    def _open(
+        self, call: RoutedCall, left_out: Collection[NodeId], now: float
+    ) -> Iterator[PeerView]:
+        for view in self._directory.serving(call.service):
+            if view.peer.node not in left_out and view.closed_until <= now:
+                yield view
+
+    def _best(self, views: list[PeerView], call: RoutedCall, now: float) -> PeerView | None:
+        if not views:
+            return None
+        scored = [(self._score(view, call, now), view) for view in views]
+        bound = min(score for score, _ in scored) + TOLERANCE
+        near = [view for score, view in scored if score <= bound]
+        return near[self._randomness.randrange(len(near))]
+
+    def _score(self, view: PeerView, call: RoutedCall, now: float) -> float:
+        share = view.expected_load_share(now)
+        score = WORK_SHARE_OF_TARGET * view.expected_slowdown(now) * (1.0 + _crowding(share))
+        if not view.same_data_centre:
+            score += self._settings.data_centre_cost
+        if view.load is not None:
+            score += FAILING_WEIGHT * view.load.failing
+        return score
+
+
+def _crowding(share: float) -> float:
+    """Return how much longer work takes where a share of the slots is in use."""
+    if share < 1.0:
+        return 0.2 * share
+    return 0.2 + 2.0 * (share - 1.0)
+
+
+def _would_refuse(view: PeerView, call: RoutedCall, now: float) -> bool:
+    load = view.load
+    if load is None or view.age(now) > FRESH_SECONDS:
+        return False
+    if load.running >= load.limit or load.waiting > 0:
+        return True
+    expected = load.slowdown * WORK_SHARE_OF_TARGET * call.target_latency
+    return load.slowdown >= SLOW_FACTOR and expected > call.target_left(now)
--- /dev/null
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -0,0 +1,178 @@
+"""Sends requests to the node beside a chosen backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hoisthook.adapter.http.message import end_to_end
+from hoisthook.exceptions import UnreachableError
+from hoisthook.mesh import hop_header
+from hoisthook.mesh.beside_load import BesideLoad
+from hoisthook.mesh.hop_header import HopHeader
+from hoisthook.mesh.outcome import WholeAnswer
+from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.result_code import BY_NUMBER
+from hoisthook.result_code import Ran
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.adapter.http.message import Header
+    from hoisthook.mesh.backend_link import BackendLink
+    from hoisthook.mesh.hop_header import Admission
+    from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.peer import PeerView
+    from hoisthook.mesh.peer_directory import PeerDirectory
+    from hoisthook.mesh.peer_sync import PeerSync
+    from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+
+# Instances are a few milliseconds apart; one that takes longer is down or cut off.
+CONNECT_SECONDS = 0.1
+DEFAULT_RETRY_SECONDS = 0.05
+_CLOSING_CODES = frozenset(
+    {
+        ResultCode.BACKEND_SERVER_DRAINING,
+        ResultCode.NODE_STOPPING,
+        ResultCode.UNREACHABLE,
+    }
+)
+_FRAMING = frozenset({b"content-length"})
+
+
+class PeerHop:
+    """Runs a request at a node: in this process if it is beside, else one hop away.
+
+    Parameters
+    ----------
+    pool : ClientPool
+        Connections to other nodes.
+    beside : BackendLink
+        This node's own backend server.
+    directory : PeerDirectory
+        Told of nodes that are not what they were.
+    sync : PeerSync
+        Whose configuration version is told to other nodes, and which learns theirs.
+    clock : Clock
+        Monotonic, the loop's own.
+    log : EventLog
+        Gets a line for each node that cannot be reached.
+    """
+
+    def __init__(
+        self,
+        pool: ClientPool,
+        beside: BackendLink,
+        directory: PeerDirectory,
+        sync: PeerSync,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._pool = pool
+        self._beside = beside
+        self._directory = directory
+        self._sync = sync
+        self._clock = clock
+        self._log = log
+
+    async def run(
+        self, view: PeerView, call: RoutedCall, admission: Admission, max_wait: float
+    ) -> Outcome:
+        """Run the request there and learn from what comes back."""
+        view.sent()
+        try:
+            if view.is_self:
+                outcome = await self._beside.run(call, admission, max_wait)
+                view.reported(self._beside.load(), self._clock.now())
+            else:
+                outcome = await self._run_remote(view, call, admission, max_wait)
+        finally:
+            view.ended()
+        if isinstance(outcome, Refused) and outcome.code in _CLOSING_CODES:
+            view.close_until(self._clock.now() + outcome.retry_after)
+        return outcome
+
+    async def _run_remote(
+        self, view: PeerView, call: RoutedCall, admission: Admission, max_wait: float
+    ) -> Outcome:
+        connection = await self._connect(view)
+        if isinstance(connection, Refused):
+            return connection
+        now = self._clock.now()
+        header = HopHeader(
+            service=call.service,
+            caller_service=call.caller_service,
+            route=call.route,
+            request_id=call.request_id,
+            admission=admission,
+            priority=call.priority,
+            time_left=call.time_left(now),
+            target_left=call.target_left(now),
+            max_wait=max_wait,
+            configuration=self._sync.version,
+        )
+        answered = await exchange_whole(
+            connection,
+            call.method,
+            call.target,
+            [*call.headers, (hop_header.HOP, header.encode())],
+            call.body,
+            timeout=call.time_left(now),
+        )
+        if isinstance(answered, Lost):
+            self._note_lost(view, call, answered)
+            return answered
+        self._pool.keep(view.address, connection)
+        head, body = answered
+        return self._read(view, head, body)
+
+    async def _connect(self, view: PeerView) -> ClientConnection | Refused:
+        connection = self._pool.take_idle(view.address)
+        if connection is not None:
+            return connection
+        try:
+            return await self._pool.open(view.address, CONNECT_SECONDS)
+        except UnreachableError as error:
+            seconds = view.unreachable(self._clock.now())
+            self._log.event(
+                "peer_unreachable", peer=view.peer.node, closed_for=seconds, reason=str(error)
+            )
+            return Refused(ResultCode.UNREACHABLE, seconds)
+
+    def _note_lost(self, view: PeerView, call: RoutedCall, lost: Lost) -> None:
+        if lost.code is ResultCode.ANSWER_LOST:
+            view.unreachable(self._clock.now())
+        self._log.decision(
+            "hop_lost", request=call.request_id, peer=view.peer.node, code=lost.code.number
+        )
+
+    def _read(self, view: PeerView, head: AnswerHead, body: bytes) -> Outcome:
+        load = BesideLoad.decode(head.get(hop_header.LOAD) or b"")
+        if load is not None:
+            view.reported(load, self._clock.now())
+            self._sync.heard(view.address, load.configuration)
+        result = head.get(hop_header.RESULT)
+        if result is None:
+            if load is None:
+                # Something else than a node answers there now.
+                self._directory.forget(view.peer.node, "not a node")
+                return Lost(ResultCode.ANSWER_SPOILED)
+            return WholeAnswer(head.status, _backend_headers(head), body)
+        code = BY_NUMBER.get(int(result)) if result.isdigit() else None
+        if code is None or code.ran is not Ran.NOT_RUN:
+            return Lost(code or ResultCode.ANSWER_SPOILED)
+        if code is ResultCode.SERVICE_ELSEWHERE:
+            self._directory.forget(view.peer.node, "serves another service")
+        retry_after = head.get(hop_header.RETRY_AFTER_MS) or b""
+        seconds = int(retry_after) / 1000.0 if retry_after.isdigit() else DEFAULT_RETRY_SECONDS
+        return Refused(code, seconds)
+
+
+def _backend_headers(head: AnswerHead) -> list[Header]:
+    headers = end_to_end(head.headers)
+    return [(n, v) for n, v in headers if n != hop_header.LOAD and n not in _FRAMING]
--- /dev/null
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -0,0 +1,209 @@
+"""What nodes tell each other directly: who is there, and the newest configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import msgspec
+
+from hoisthook.exceptions import UnreachableError
+from hoisthook.mesh.peer import Peer
+from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.node.call import Lost
+from hoisthook.traffic.configuration_holder import ConfigurationSource
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.identity import Address
+    from hoisthook.mesh.peer_directory import PeerDirectory
+    from hoisthook.port.clock import Randomness
+    from hoisthook.port.event_log import EventLog
+    from hoisthook.traffic.configuration_holder import ConfigurationHolder
+    from hoisthook.traffic.traffic_configuration import TrafficConfiguration
+
+SYNC_PATH = b"/hoisthook/peers"
+CONNECT_SECONDS = 0.2
+ANSWER_SECONDS = 0.5
+# How many peers a new node introduces itself to; the others read of it in the store.
+MAX_INTRODUCTIONS = 30
+INTRODUCTION_GAP_SECONDS = 0.01
+# How often a peer is asked while the store does not answer.
+ASK_SECONDS = 0.4
+# A change reaches all nodes from the store within this; a node that is still behind asks the
+# peer that is ahead. It covers the pause of `ConfigurationWatch` after a change.
+STORE_LEAD_SECONDS = 0.6
+
+
+class ConfigurationDecoder(Protocol):
+    """Reads a configuration as operators publish it."""
+
+    def __call__(self, raw: bytes) -> TrafficConfiguration | None:
+        """Return the configuration, or None if it cannot be read."""
+
+
+class SyncQuestion(msgspec.Struct, frozen=True):
+    """What a node asks of another.
+
+    Attributes
+    ----------
+    sender : Peer
+        Who asks; the other takes it in.
+    known : int
+        How many nodes it knows.
+    configuration : int
+        The version it has; -1 for none.
+    """
+
+    sender: Peer
+    known: int
+    configuration: int
+
+
+class SyncReply(msgspec.Struct, frozen=True):
+    """The answer.
+
+    Attributes
+    ----------
+    peers : list of Peer
+        All known nodes, if more than the asker knows.
+    configuration : bytes
+        The newest configuration as published, if newer than the asker's.
+    """
+
+    peers: list[Peer] = []
+    configuration: bytes = b""
+
+
+class PeerSync:
+    """Asks other nodes, answers them, and goes on asking while the store is away.
+
+    Parameters
+    ----------
+    directory : PeerDirectory
+        Whom it knows.
+    configuration : ConfigurationHolder
+        What it has.
+    decode : ConfigurationDecoder
+        Reads a configuration that a peer hands on.
+    pool : ClientPool
+        Connections to other nodes.
+    randomness : Randomness
+        Chooses whom to ask.
+    log : EventLog
+        Gets a line for what cannot be read.
+    """
+
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        configuration: ConfigurationHolder,
+        decode: ConfigurationDecoder,
+        pool: ClientPool,
+        randomness: Randomness,
+        log: EventLog,
+    ) -> None:
+        self._directory = directory
+        self._configuration = configuration
+        self._decode = decode
+        self._pool = pool
+        self._randomness = randomness
+        self._log = log
+        self._asking: asyncio.Task[None] | None = None
+        self.store_away = False
+        self.peer_port = 0
+
+    async def run(self) -> None:
+        """Ask a random peer now and then for as long as the store is away."""
+        while True:
+            await asyncio.sleep(ASK_SECONDS * (0.75 + 0.5 * self._randomness.random()))
+            others = self._directory.others() if self.store_away else []
+            if others:
+                view = others[self._randomness.randrange(len(others))]
+                await self.ask(view.address)
+
+    async def introduce(self) -> None:
+        """Tell peers about this node."""
+        others = self._directory.others()
+        for _ in range(min(MAX_INTRODUCTIONS, len(others))):
+            view = others.pop(self._randomness.randrange(len(others)))
+            await self.ask(view.address)
+            await asyncio.sleep(INTRODUCTION_GAP_SECONDS)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the configuration in force here; -1 before the first."""
+        return self._configuration.version
+
+    def heard(self, address: Address, configuration: int) -> None:
+        """Note which configuration a peer has; fetch it if the store does not bring it soon."""
+        if configuration <= self.version:
+            return
+        if self._asking is None or self._asking.done():
+            loop = asyncio.get_running_loop()
+            self._asking = loop.create_task(self._fetch(address, configuration))
+
+    async def _fetch(self, address: Address, configuration: int) -> None:
+        if not self.store_away and self.version >= 0:
+            await asyncio.sleep(STORE_LEAD_SECONDS)
+        if configuration > self.version:
+            self._log.event("configuration_behind", have=self.version, peer_has=configuration)
+            await self.ask(address)
+
+    async def ask(self, address: Address) -> None:
+        """Ask one peer and take in its answer."""
+        question = SyncQuestion(
+            self._directory.me, len(self._directory), self.version
+        )
+        try:
+            connection = await self._pool.acquire(address, CONNECT_SECONDS)
+        except UnreachableError as error:
+            self._log.event("peer_silent", address=address[0], reason=str(error))
+            return
+        answered = await exchange_whole(
+            connection,
+            b"POST",
+            SYNC_PATH,
+            [(b"host", address[0].encode())],
+            msgspec.json.encode(question),
+            timeout=ANSWER_SECONDS,
+        )
+        if isinstance(answered, Lost):
+            self._log.event("peer_silent", address=address[0], reason=answered.code.name)
+            return
+        self._pool.keep(address, connection)
+        self._take(answered[1])
+
+    async def answer(self, exchange: ServerExchange) -> None:
+        """Answer a peer's question."""
+        data = b""
+        while chunk := await exchange.body.read():
+            data += chunk
+        try:
+            question = msgspec.json.decode(data, type=SyncQuestion)
+        except msgspec.DecodeError as error:
+            self._log.event("peer_question_unreadable", reason=str(error))
+            exchange.respond(400, [])
+            return
+        self._directory.merge([question.sender], "peer")
+        current = self._configuration.current
+        raw = b""
+        if current is not None and current.version > question.configuration:
+            raw = current.raw
+        peers = self._directory.peers() if len(self._directory) > question.known else []
+        exchange.respond(200, [], msgspec.json.encode(SyncReply(peers, raw)))
+
+    def _take(self, data: bytes) -> None:
+        try:
+            reply = msgspec.json.decode(data, type=SyncReply)
+        except msgspec.DecodeError as error:
+            self._log.event("peer_reply_unreadable", reason=str(error))
+            return
+        self._directory.merge(reply.peers, "peer")
+        if not reply.configuration:
+            return
+        configuration = self._decode(reply.configuration)
+        if configuration is not None:
+            self._configuration.offer(configuration, ConfigurationSource.PEER)
--- /dev/null
+++ b/src/hoisthook/mesh/routed_call.py
@@ -0,0 +1,70 @@
+"""A request on its way along its route."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.message import Header
+    from hoisthook.identity import RequestId
+    from hoisthook.identity import RouteName
+    from hoisthook.identity import ServiceName
+
+
+@dataclass(slots=True)
+class RoutedCall:
+    """One request with all that decides about it; times are on the node's clock.
+
+    Attributes
+    ----------
+    request_id : RequestId
+        The caller's.
+    route : RouteName
+        By which its usual duration is learned.
+    service : ServiceName
+        Who is to run it.
+    caller_service : ServiceName
+        The service beside which it began.
+    method, target : bytes
+        As the caller sent them.
+    headers : list of Header
+        End to end, without those that the system sets.
+    body : bytes
+        Whole.
+    received : float
+        When the first node took it up.
+    deadline : float
+        When its answer is of no use any more.
+    target_latency : float
+        Seconds from ``received`` within which an answer has its full worth.
+    priority : int
+        Rank; 0 is the most urgent.
+    repeatable : bool
+        Whether it may run more than once.
+    max_attempts : int
+        Backend servers that it may be sent to, at most.
+    """
+
+    request_id: RequestId
+    route: RouteName
+    service: ServiceName
+    caller_service: ServiceName
+    method: bytes
+    target: bytes
+    headers: list[Header]
+    body: bytes
+    received: float
+    deadline: float
+    target_latency: float
+    priority: int
+    repeatable: bool
+    max_attempts: int
+
+    def time_left(self, now: float) -> float:
+        """Return the seconds until the deadline."""
+        return self.deadline - now
+
+    def target_left(self, now: float) -> float:
+        """Return the seconds until the target latency is over; negative after it."""
+        return self.received + self.target_latency - now
--- /dev/null
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -0,0 +1,240 @@
+"""Finds a backend server that runs a routed request, within its deadline and budgets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from hoisthook.mesh.hop_header import Admission
+from hoisthook.mesh.outcome import WholeAnswer
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.result_code import ResultCode
+from hoisthook.retry.windowed_retry_budget import WindowedRetryBudget
+
+if TYPE_CHECKING:
+    from hoisthook.identity import NodeId
+    from hoisthook.identity import ServiceName
+    from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.peer import PeerView
+    from hoisthook.mesh.peer_choice import PeerChoice
+    from hoisthook.mesh.peer_directory import PeerDirectory
+    from hoisthook.mesh.peer_hop import PeerHop
+    from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+
+# Nodes asked whether they can start a request at once; each costs a way there and back.
+MAX_DIRECT_TRIES = 4
+MAX_QUEUE_TRIES = 2
+# A request may wait for a slot until this share of its target latency has passed since it
+# came. Later than that, a refusal serves its caller better than the wait.
+WAIT_SHARE_OF_TARGET = 0.22
+NO_BACKEND_SERVER_RETRY_SECONDS = 0.3
+MIN_RETRY_AFTER_SECONDS = 0.05
+# Below this nothing can be run any more.
+MIN_TIME_LEFT_SECONDS = 0.003
+FAILURE_STATUSES = frozenset({500, 502, 503})
+# Refusals that come from the backend server itself, where the request has arrived.
+_ARRIVED_CODES = frozenset({ResultCode.BACKEND_SERVER_SHED, ResultCode.BACKEND_SERVER_REPLACED})
+
+
+@dataclass(frozen=True, slots=True)
+class RetrySettings:
+    """The budget of extra tries that all nodes share.
+
+    Attributes
+    ----------
+    ratio : float
+        Extra tries per request of a service.
+    window : float
+        Seconds.
+    extra : float
+        Extra tries that all nodes together may make in a window besides.
+    """
+
+    ratio: float
+    window: float
+    extra: float
+
+
+@dataclass(slots=True)
+class Dispatched:
+    """What became of a request.
+
+    Attributes
+    ----------
+    outcome : WholeAnswer, Refused or Lost
+        The last word.
+    tries : int
+        Nodes it was handed to.
+    ran : int
+        Backend servers that may have run it.
+    node : str
+        The last node.
+    """
+
+    outcome: Outcome
+    tries: int
+    ran: int
+    node: str
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What the tries of one request have shown so far."""
+
+    asked: set[NodeId] = field(default_factory=set)
+    left_out: set[NodeId] = field(default_factory=set)
+    queue_tries: int = 0
+    tries: int = 0
+    ran: int = 0
+    node: str = ""
+    unknown: Lost | None = None
+    failed: WholeAnswer | None = None
+    soonest: float = float("inf")
+    code: ResultCode = ResultCode.NO_BACKEND_SERVER
+
+
+class RoutedDispatcher:
+    """Asks the nearest node that is likely to be fast, then others, then waits at one.
+
+    A refusal beside a backend server costs that backend server nothing, so the next
+    node is asked at once. What was sent and not answered is tried again only if it may
+    be repeated, the route allows another attempt, and the budget has room.
+
+    Parameters
+    ----------
+    choice : PeerChoice
+        Chooses nodes.
+    hop : PeerHop
+        Sends.
+    directory : PeerDirectory
+        Tells by how many nodes the budget is shared.
+    settings : RetrySettings
+        The budget.
+    clock : Clock
+        Monotonic.
+    log : EventLog
+        Gets a line for each extra try.
+    """
+
+    def __init__(
+        self,
+        choice: PeerChoice,
+        hop: PeerHop,
+        directory: PeerDirectory,
+        settings: RetrySettings,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._choice = choice
+        self._hop = hop
+        self._directory = directory
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._budget_by_service: dict[ServiceName, WindowedRetryBudget] = {}
+
+    async def dispatch(self, call: RoutedCall) -> Dispatched:
+        """Run the request somewhere, or say what is known of it."""
+        self._budget(call.service).request(self._clock.now())
+        progress = _Progress()
+        while True:
+            step = self._next(call, progress)
+            if step is None:
+                break
+            view, admission = step
+            outcome = await self._try(view, call, admission, progress)
+            if not self._goes_on(view, call, outcome, progress):
+                return Dispatched(outcome, progress.tries, progress.ran, progress.node)
+        return Dispatched(self._conclude(call, progress), progress.tries, progress.ran, progress.node)
+
+    def _next(self, call: RoutedCall, progress: _Progress) -> tuple[PeerView, Admission] | None:
+        now = self._clock.now()
+        if call.time_left(now) < MIN_TIME_LEFT_SECONDS:
+            return None
+        if len(progress.asked) < MAX_DIRECT_TRIES:
+            view = self._choice.direct(call, progress.asked | progress.left_out, now)
+            if view is not None:
+                return view, Admission.DIRECT
+        if progress.queue_tries >= MAX_QUEUE_TRIES:
+            return None
+        view = self._choice.queue(call, progress.left_out, now)
+        if view is None:
+            return None
+        progress.queue_tries += 1
+        return view, Admission.QUEUE
+
+    async def _try(
+        self, view: PeerView, call: RoutedCall, admission: Admission, progress: _Progress
+    ) -> Outcome:
+        progress.tries += 1
+        progress.node = view.peer.node
+        return await self._hop.run(view, call, admission, self._max_wait(call))
+
+    def _goes_on(
+        self, view: PeerView, call: RoutedCall, outcome: Outcome, progress: _Progress
+    ) -> bool:
+        """Take in an outcome; return whether another try makes sense."""
+        node = view.peer.node
+        if isinstance(outcome, Refused):
+            progress.asked.add(node)
+            progress.code = outcome.code
+            progress.soonest = min(progress.soonest, outcome.retry_after)
+            if outcome.code in _ARRIVED_CODES:
+                progress.left_out.add(node)
+                return self._take_budget(call, outcome.code.number)
+            if outcome.code not in (ResultCode.SLOTS_FULL, ResultCode.BACKEND_SERVER_SLOW):
+                progress.left_out.add(node)
+            return outcome.code is not ResultCode.DEADLINE_PASSED
+        progress.ran += 1
+        progress.left_out.add(node)
+        if isinstance(outcome, Lost):
+            progress.unknown = outcome
+            return outcome.code is not ResultCode.DEADLINE_DURING_RUN and self._may_repeat(
+                call, progress, outcome.code.number
+            )
+        if outcome.status not in FAILURE_STATUSES:
+            return False
+        progress.failed = outcome
+        return self._may_repeat(call, progress, outcome.status)
+
+    def _may_repeat(self, call: RoutedCall, progress: _Progress, reason: int) -> bool:
+        if not call.repeatable or progress.ran >= call.max_attempts:
+            return False
+        if call.target_left(self._clock.now()) <= 0:
+            return False
+        return self._take_budget(call, reason)
+
+    def _take_budget(self, call: RoutedCall, reason: int) -> bool:
+        taken = self._budget(call.service).take(self._clock.now())
+        self._log.decision(
+            "extra_try", request=call.request_id, reason=reason, granted=taken, service=call.service
+        )
+        return taken
+
+    def _conclude(self, call: RoutedCall, progress: _Progress) -> Outcome:
+        if progress.failed is not None:
+            return progress.failed
+        if progress.unknown is not None:
+            return progress.unknown
+        if progress.tries == 0:
+            if call.time_left(self._clock.now()) < MIN_TIME_LEFT_SECONDS:
+                return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+            return Refused(ResultCode.NO_BACKEND_SERVER, NO_BACKEND_SERVER_RETRY_SECONDS)
+        return Refused(progress.code, max(MIN_RETRY_AFTER_SECONDS, progress.soonest))
+
+    def _max_wait(self, call: RoutedCall) -> float:
+        waited = self._clock.now() - call.received
+        return max(0.0, WAIT_SHARE_OF_TARGET * call.target_latency - waited)
+
+    def _budget(self, service: ServiceName) -> WindowedRetryBudget:
+        extra = self._settings.extra / max(1, len(self._directory))
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = WindowedRetryBudget(self._settings.ratio, self._settings.window, extra)
+            self._budget_by_service[service] = budget
+        budget.extra = extra
+        return budget
--- a/src/hoisthook/node/beside.py
+++ b/src/hoisthook/node/beside.py
@@ -242,7 +242,7 @@
             exchanger.stop()
             self._end(ticket, connection, keep=connection.body.complete, failed=None)
             return Refused(ResultCode.BACKEND_SERVER_SHED, SHED_RETRY_SECONDS)
-        if not _is_framed(call, head):
+        if not (head.is_framed or call.method == b"HEAD"):
             exchanger.stop()
             self._end(ticket, connection, keep=False, failed=True)
             return Lost(ResultCode.ANSWER_UNFRAMED)
@@ -283,9 +283,3 @@
             connection.on_gone(lambda: self.gate.release(ticket, self._clock.now()))
         if failed is not None:
             self.state.answered(now, failed=failed)
-
-
-def _is_framed(call: Call, head: AnswerHead) -> bool:
-    if call.method == b"HEAD" or head.status in (204, 304):
-        return True
-    return head.get(b"content-length") is not None or head.get(b"transfer-encoding") is not None
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -98,6 +98,16 @@
         1011, 404, Ran.NOT_RUN, "No such control path.", "Paths below /hoisthook/ are reserved."
     )
 
+    ROUTE_UNKNOWN = CodeEntry(
+        1012, 404, Ran.NOT_RUN, "No route takes the host and path.", "Correct them or add a route."
+    )
+    BODY_TOO_LARGE = CodeEntry(
+        1013, 413, Ran.NOT_RUN, "The request's body exceeds its bound.", "Send a smaller body."
+    )
+    REQUEST_UNNAMED = CodeEntry(
+        1014, 400, Ran.NOT_RUN, "The request bears no id.", "Give each request an id."
+    )
+
     OVERLOADED = CodeEntry(
         2001, 503, Ran.NOT_RUN, "Every backend server tried is full.", "Come back as told."
     )
@@ -144,6 +154,19 @@
         2015, 503, Ran.NOT_RUN, "The backend server shed the request.", "Another is tried."
     )
 
+    BACKEND_SERVER_SLOW = CodeEntry(
+        2016, 503, Ran.NOT_RUN, "Work takes too long there at this moment.", "Another is tried."
+    )
+    BACKEND_SERVER_REPLACED = CodeEntry(
+        2017, 503, Ran.NOT_RUN, "Another incarnation answers at its address.", "Another is tried."
+    )
+    SERVICE_ELSEWHERE = CodeEntry(
+        2018, 503, Ran.NOT_RUN, "The node serves another service.", "Another is tried."
+    )
+    QUEUE_TIMEOUT = CodeEntry(
+        2019, 503, Ran.NOT_RUN, "No slot became free in time.", "Come back as told."
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
@@ -185,6 +208,14 @@
         "Repeat with the same key as told.",
     )
 
+    ANSWER_SPOILED = CodeEntry(
+        3009,
+        502,
+        Ran.UNKNOWN,
+        "The backend server's answer is not one that it may give.",
+        "Repeat if the request is repeatable.",
+    )
+
     REVISION_CONFLICT = CodeEntry(
         4001, 0, Ran.NOT_RUN, "Another change won.", "Read the winner's revision and decide anew."
     )
@@ -205,6 +236,10 @@
     )
     NOT_FOUND = CodeEntry(4007, 0, Ran.NOT_RUN, "No such service or backend server.", "Check it.")
 
+    STORE_UNAVAILABLE = CodeEntry(
+        4008, 0, Ran.NOT_RUN, "The platform's store gave no usable answer.", "It is tried again."
+    )
+
     SETTINGS_UNREADABLE = CodeEntry(
         5001, 0, Ran.NOT_RUN, "The settings file cannot be read.", "Check path and permissions."
     )
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -4,6 +4,7 @@
 
 import tomllib
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import msgspec
 
@@ -11,14 +12,18 @@
 from hoisthook.identity import is_name
 from hoisthook.identity import parse_address
 from hoisthook.result_code import ResultCode
+from hoisthook.settings.mesh_settings import MeshSettings
 from hoisthook.settings.node_settings import NodeSettings
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
     from pathlib import Path
 
 MAX_DRAIN_SECONDS = 3600.0
 
+Settings = TypeVar("Settings")
+
 
 def load_settings(path: Path) -> NodeSettings:
     """Return the checked settings.
@@ -28,14 +33,18 @@
     SettingsError
         With one line that names the file, the key and the rule.
     """
-    try:
-        text = path.read_bytes().decode()
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}") from error
-    try:
-        return check_settings(parse_settings(text))
-    except SettingsError as error:
-        raise SettingsError(error.code, f"{path}: {error.detail}") from error
+    return _load(path, lambda text: check_settings(parse_settings(text)))
+
+
+def load_mesh_settings(path: Path) -> MeshSettings:
+    """Return the checked settings of a node on the platform.
+
+    Raises
+    ------
+    SettingsError
+        With one line that names the file, the key and the rule.
+    """
+    return _load(path, lambda text: check_mesh_settings(_parse(text, MeshSettings)))
 
 
 def parse_settings(text: str) -> NodeSettings:
@@ -46,16 +55,44 @@
     SettingsError
         If the text is not TOML or does not fit the model.
     """
+    return _parse(text, NodeSettings)
+
+
+def _load(path: Path, read: Callable[[str], Settings]) -> Settings:
+    try:
+        text = path.read_bytes().decode()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}") from error
+    try:
+        return read(text)
+    except SettingsError as error:
+        raise SettingsError(error.code, f"{path}: {error.detail}") from error
+
+
+def _parse(text: str, model: type[Settings]) -> Settings:
     try:
         table = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         raise SettingsError(ResultCode.SETTINGS_SYNTAX, _one_line(error)) from error
     try:
-        return msgspec.convert(table, NodeSettings)
+        return msgspec.convert(table, model)
     except msgspec.ValidationError as error:
         raise SettingsError(ResultCode.SETTINGS_INVALID, _one_line(error)) from error
 
 
+def check_mesh_settings(settings: MeshSettings) -> MeshSettings:
+    """Return the settings if every value keeps its rule.
+
+    Raises
+    ------
+    SettingsError
+        For the first that does not.
+    """
+    for problem in _mesh_problems(settings):
+        raise SettingsError(ResultCode.SETTINGS_VALUE, problem)
+    return settings
+
+
 def check_settings(settings: NodeSettings) -> NodeSettings:
     """Return the settings if every value keeps its rule.
 
@@ -74,13 +111,46 @@
         if not is_name(name):
             yield f"{key}: {name!r} is not 1 to 63 of a-z 0-9 -"
     for key, address in _addresses(settings):
-        try:
-            parse_address(address)
-        except ValueError as error:
-            yield f"{key}: {error}"
+        yield from _address_problems(key, address)
     yield from _number_problems(settings)
 
 
+def _mesh_problems(settings: MeshSettings) -> Iterator[str]:
+    for key in ("id", "data_centre", "service"):
+        if not getattr(settings.node, key) or " " in getattr(settings.node, key):
+            yield f"node.{key}: empty, or with a space in it"
+    listen = settings.listen
+    for key, address in (
+        ("listen.callers", listen.callers),
+        ("listen.peers", listen.peers),
+        ("listen.readiness", listen.readiness),
+        ("listen.announcements", listen.announcements),
+        ("listen.metrics", listen.metrics or "127.0.0.1:0"),
+        ("backend_server.address", settings.backend_server.address),
+        ("store.address", settings.store.address),
+    ):
+        yield from _address_problems(key, address)
+    for key, value, low, high in (
+        ("backend_server.usable_share", settings.backend_server.usable_share, 0.01, 1.0),
+        ("shutdown.grace_seconds", settings.shutdown.grace_seconds, 0.0, MAX_DRAIN_SECONDS),
+        ("retry.ratio", settings.retry.ratio, 0.0, 1.0),
+        ("retry.window_seconds", settings.retry.window_seconds, 0.1, 600.0),
+        ("retry.extra", settings.retry.extra, 0.0, 1e6),
+        ("measure.per_second", settings.measure.per_second, 0.0, 1000.0),
+        ("routing.data_centre_cost", settings.routing.data_centre_cost, 0.0, 100.0),
+        ("logging.lines_per_second", settings.logging.lines_per_second, 0, 1_000_000),
+    ):
+        if not low <= value <= high:
+            yield f"{key}: not within {low:g} to {high:g}"
+
+
+def _address_problems(key: str, address: str) -> Iterator[str]:
+    try:
+        parse_address(address)
+    except ValueError as error:
+        yield f"{key}: {error}"
+
+
 def _names(settings: NodeSettings) -> Iterator[tuple[str, str]]:
     yield "node.id", settings.node.id
     yield "node.data_centre", settings.node.data_centre
--- /dev/null
+++ b/src/hoisthook/traffic/__init__.py
@@ -0,0 +1,3 @@
+"""What operators say about traffic: routes, services and limits, in versions."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/hoisthook/traffic/part_choice.py
@@ -0,0 +1,40 @@
+"""Divides a route's requests among its parts by weight."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.identity import RouteName
+    from hoisthook.identity import ServiceName
+    from hoisthook.traffic.route import Route
+    from hoisthook.traffic.route import RoutePart
+
+
+class PartChoice:
+    """Smooth weighted round robin, one state a route.
+
+    The shares hold over any short run of requests, which a random draw does not
+    give. A part that has no room is not replaced by another: the weights are the
+    operators' word.
+    """
+
+    def __init__(self) -> None:
+        self._credits_by_route: dict[RouteName, dict[RoutePart, float]] = {}
+
+    def choose(self, route: Route) -> ServiceName:
+        """Return the service for the route's next request."""
+        parts = route.parts
+        if len(parts) == 1:
+            return parts[0].service
+        credit_by_part = self._credits_by_route.get(route.name)
+        if credit_by_part is None or tuple(credit_by_part) != parts:
+            credit_by_part = dict.fromkeys(parts, 0.0)
+            self._credits_by_route[route.name] = credit_by_part
+        total = 0.0
+        for part in parts:
+            credit_by_part[part] += part.weight
+            total += part.weight
+        chosen = max(parts, key=credit_by_part.__getitem__)
+        credit_by_part[chosen] -= total
+        return chosen.service
--- /dev/null
+++ b/src/hoisthook/traffic/traffic_configuration.py
@@ -0,0 +1,79 @@
+"""One version of everything that operators say about traffic."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from hoisthook.identity import ServiceName
+from hoisthook.traffic.route import Route
+from hoisthook.traffic.route_table import RouteTable
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceTraits:
+    """What operators say about a service.
+
+    Attributes
+    ----------
+    health_path : str
+        Path of its backend servers' health check.
+    max_connections : int
+        Connections that a backend server accepts from all callers together.
+    """
+
+    health_path: str
+    max_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Bounds on what a caller may send.
+
+    Attributes
+    ----------
+    max_head_bytes : int
+        Bytes of a request's head.
+    max_body_bytes : int
+        Bytes of a request's body.
+    head_timeout : float
+        Seconds within which a head that has begun must be whole.
+    idle_timeout : float
+        Seconds for which a connection without a request is kept.
+    """
+
+    max_head_bytes: int
+    max_body_bytes: int
+    head_timeout: float
+    idle_timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficConfiguration:
+    """Routes, services and limits in force together.
+
+    Attributes
+    ----------
+    version : int
+        Increases with each change.
+    routes : tuple of Route
+        All routes.
+    traits_by_service : dict
+        All services.
+    limits : ClientLimits or None
+        None where operators set none.
+    raw : bytes
+        The record as it was published, to hand on to peers.
+    table : RouteTable
+        Derived from ``routes``.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    traits_by_service: dict[ServiceName, ServiceTraits]
+    limits: ClientLimits | None
+    raw: bytes
+    table: RouteTable = field(init=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "table", RouteTable(self.routes))
