A store that was silent is noticed soon: short reads while it is away, waits drawn

Ruled out: peers not telling each other (they did, 0.6 s after the first had read it). A background task that fails is told of and started again.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -17,15 +17,15 @@
     from hoisthook.port.record_store import RecordStore
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
 
-# One call in this time while nothing changes. A wait that an outage has silenced ends with it;
-# the nodes' waits end at different moments, and peers tell each other what the first one reads.
-WAIT_SECONDS = 10.0
+# One call in this time while nothing changes. A wait that an outage has silenced is not told from
+# one in which nothing happens, so waits are drawn: some node's ends soon after the outage, and
+# peers tell each other what it reads.
+MIN_WAIT_SECONDS = 1.0
+MAX_WAIT_SECONDS = 10.0
 # After a change the next read waits, so that changes in quick succession cost one call.
 SETTLE_SECONDS = 0.4
 FIRST_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 1.0
-# Until the first configuration is published.
-EMPTY_POLL_SECONDS = 1.0
 
 
 class ConfigurationWatch:
@@ -91,7 +91,7 @@
         if self._offset is None:
             page = await self._store.newest(self._topic)
         else:
-            following = await self._store.changes(self._topic, self._offset, WAIT_SECONDS)
+            following = await self._store.changes(self._topic, self._offset, self._wait())
             if following is None:
                 # The records in between are not kept any more.
                 self._log.event("configuration_history_lost", offset=self._offset)
@@ -101,6 +101,12 @@
         self._offset = page.end
         return self._take(page)
 
+    def _wait(self) -> float:
+        if self._sync.store_away:
+            # Asks only whether the store is back.
+            return 0.0
+        return MIN_WAIT_SECONDS + self._randomness.random() * (MAX_WAIT_SECONDS - MIN_WAIT_SECONDS)
+
     def _take(self, page: RecordPage) -> bool:
         for record in page.records:
             if record.key != self._key or not record.value:
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -19,6 +19,7 @@
 from hoisthook.mesh.configuration_watch import ConfigurationWatch
 from hoisthook.mesh.entry import Entry
 from hoisthook.mesh.hop_server import HopServer
+from hoisthook.mesh.node_status import NodeStatus
 from hoisthook.mesh.peer import Peer
 from hoisthook.mesh.peer_choice import ChoiceSettings
 from hoisthook.mesh.peer_choice import PeerChoice
@@ -32,7 +33,8 @@
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Awaitable
+    from collections.abc import Callable
 
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
@@ -50,6 +52,8 @@
 # Kept for less than the other node's server keeps it, see `CallServer`.
 PEER_IDLE_SECONDS = 30.0
 HOUSEKEEPING_SECONDS = 2.0
+# Before a task that failed is started again.
+RESTART_SECONDS = 0.5
 # How long callers go on sending after readiness is withdrawn: two questions a second apart.
 LINGER_SECONDS = 2.6
 # Left of the grace for what the process does last.
@@ -161,7 +165,7 @@
         await self._callers.start()
         await self._peers.start()
         self.sync.peer_port = self._peers.address[1]
-        self._run(self._watch.run(), self._registration.run(), self.sync.run(), self._housekeep())
+        self._run(self._watch.run, self._registration.run, self.sync.run, self._housekeep)
         self._log.event(
             "started", service=self.settings.node.service, data_centre=self.directory.me.data_centre
         )
@@ -211,6 +215,22 @@
             data_centre=DataCentre(node.data_centre),
         )
 
+    def status(self) -> NodeStatus:
+        """Return what the node is like at this moment."""
+        load = self.link.load()
+        return NodeStatus(
+            ready=self.ready,
+            backend_state=self.link.belief.state.value,
+            running=load.running,
+            waiting=load.waiting,
+            limit=load.limit,
+            slowdown=load.slowdown,
+            configuration=self.configuration.version,
+            peers=len(self.directory) - 1,
+            store_away=self.sync.store_away,
+            backend_connections=self._backend_pool.opened,
+        )
+
     def _make_entry(self, service: ServiceName, wire: CallerWire) -> Entry:
         settings = self.settings
         hop = PeerHop(
@@ -247,6 +267,15 @@
             self._backend_pool.drop_idle()
             self._peer_pool.drop_idle()
 
-    def _run(self, *runs: Coroutine[object, object, None]) -> None:
+    def _run(self, *runs: Callable[[], Awaitable[None]]) -> None:
         loop = asyncio.get_running_loop()
-        self._tasks.extend(loop.create_task(run) for run in runs)
+        self._tasks.extend(loop.create_task(self._keep_running(run)) for run in runs)
+
+    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task for the node's whole life; one that fails is told of and started again."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._log.event("task_failed", task=run.__qualname__, reason=repr(error))
+            await asyncio.sleep(RESTART_SECONDS)
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -122,6 +122,7 @@
             others = self._directory.others() if self.store_away else []
             if others:
                 view = others[self._randomness.randrange(len(others))]
+                self._log.event("peer_asked", peer=view.peer.node, have=self.version)
                 await self.ask(view.address)
 
     async def introduce(self) -> None:
--- a/tool/generate_pins.py
+++ b/tool/generate_pins.py
@@ -10,7 +10,7 @@
 LOCK = ROOT / "poetry.lock"
 PINS = ROOT / "deploy" / "requirements.txt"
 # What the path of routed requests imports; the rest of the product's libraries stay away.
-NEEDED = ("httptools", "logbook", "msgspec")
+NEEDED = ("httptools", "logbook", "msgspec", "prometheus-client")
 HEADER = "# Written by tool/generate_pins.py out of poetry.lock.\n"
 
 
