--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -239,7 +239,10 @@
             if answered.code is not ResultCode.DEADLINE_DURING_RUN:
                 self.belief.answered(failed=True)
             self._log.decision(
-                "backend_lost", request=call.request_id, code=answered.code.number, instance=instance
+                "backend_lost",
+                request=call.request_id,
+                code=answered.code.number,
+                instance=instance,
             )
             return answered
         self._pool.keep(self._address, connection)
@@ -272,17 +275,21 @@
                 return WholeAnswer(head.status, reading.headers, body)
 
     async def _refresh_load(self, admission: Admission) -> None:
-        now = self._clock.now()
-        belief = self.belief
-        unknown = belief.state is BackendState.UNKNOWN
-        stale = now - belief.load_at > LOAD_MAX_AGE_SECONDS
-        if not unknown and (not stale or admission is Admission.QUEUE or not belief.takes_work):
-            return
-        if self._probe is not None and not self._probe.done():
-            await self.probe()
-        elif unknown or self._budget.take(now):
+        if self._should_probe(admission, self._clock.now()):
             await self.probe()
 
+    def _should_probe(self, admission: Admission, now: float) -> bool:
+        belief = self.belief
+        if belief.state is BackendState.UNKNOWN:
+            return True
+        # What may wait or run slowly is not judged by the load.
+        if admission is Admission.QUEUE or not belief.takes_work:
+            return False
+        if now - belief.load_at <= LOAD_MAX_AGE_SECONDS:
+            return False
+        is_probing = self._probe is not None and not self._probe.done()
+        return is_probing or self._budget.take(now)
+
     async def _read_health(self) -> None:
         if self.health_path is None:
             return
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -77,9 +77,7 @@
             return
         configuration = self._configuration.current
         if configuration is None:
-            refused = Refused(
-                ResultCode.CONFIGURATION_MISSING, NO_CONFIGURATION_RETRY_SECONDS
-            )
+            refused = Refused(ResultCode.CONFIGURATION_MISSING, NO_CONFIGURATION_RETRY_SECONDS)
             self._conclude(exchange, request, refused, received)
             return
         route = configuration.table.match(request.host, request.path)
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -75,9 +75,9 @@
             self.request_id,
             self.admission.value,
             str(self.priority),
-            str(int(self.time_left * MILLIS)),
-            str(int(self.target_left * MILLIS)),
-            str(int(self.max_wait * MILLIS)),
+            str(round(self.time_left * MILLIS)),
+            str(round(self.target_left * MILLIS)),
+            str(round(self.max_wait * MILLIS)),
             str(self.configuration),
         )
         return " ".join(parts).encode("latin-1")
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -92,9 +92,7 @@
     return data
 
 
-def _call(
-    exchange: ServerExchange, header: HopHeader, body: bytes, received: float
-) -> RoutedCall:
+def _call(exchange: ServerExchange, header: HopHeader, body: bytes, received: float) -> RoutedCall:
     headers = [
         (name, value)
         for name, value in end_to_end(exchange.head.headers)
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -233,16 +233,14 @@
 
     def _make_entry(self, service: ServiceName, wire: CallerWire) -> Entry:
         settings = self.settings
-        hop = PeerHop(
-            self._peer_pool, self.link, self.directory, self.sync, self._clock, self._log
-        )
+        hop = PeerHop(self._peer_pool, self.link, self.directory, self.sync, self._clock, self._log)
         choice = PeerChoice(
             self.directory, ChoiceSettings(settings.routing.data_centre_cost), self._randomness
         )
-        retry = RetrySettings(settings.retry.ratio, settings.retry.window_seconds, settings.retry.extra)
-        dispatcher = RoutedDispatcher(
-            choice, hop, self.directory, retry, self._clock, self._log
+        retry = RetrySettings(
+            settings.retry.ratio, settings.retry.window_seconds, settings.retry.extra
         )
+        dispatcher = RoutedDispatcher(choice, hop, self.directory, retry, self._clock, self._log)
         return Entry(service, wire, self.configuration, dispatcher, self._clock, self._log)
 
     def _configured(self, configuration: TrafficConfiguration) -> None:
--- a/src/hoisthook/mesh/peer.py
+++ b/src/hoisthook/mesh/peer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -11,7 +12,9 @@
 from hoisthook.identity import NodeId
 from hoisthook.identity import ServiceName
 from hoisthook.identity import parse_address
-from hoisthook.mesh.beside_load import BesideLoad
+
+if TYPE_CHECKING:
+    from hoisthook.mesh.beside_load import BesideLoad
 
 # How fast a load report loses its value: load shifts every few hundred milliseconds.
 REPORT_LIFE_SECONDS = 0.3
--- a/src/hoisthook/mesh/peer_choice.py
+++ b/src/hoisthook/mesh/peer_choice.py
@@ -62,9 +62,7 @@
     def direct(self, call: RoutedCall, tried: Collection[NodeId], now: float) -> PeerView | None:
         """Return an open node that is likely to start the request at once, or None."""
         views = [
-            view
-            for view in self._open(call, tried, now)
-            if not _would_refuse(view, call, now)
+            view for view in self._open(call, tried, now) if not _would_refuse(view, call, now)
         ]
         return self._best(views, call, now)
 
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -155,9 +155,7 @@
 
     async def ask(self, address: Address) -> None:
         """Ask one peer and take in its answer."""
-        question = SyncQuestion(
-            self._directory.me, len(self._directory), self.version
-        )
+        question = SyncQuestion(self._directory.me, len(self._directory), self.version)
         try:
             connection = await self._pool.acquire(address, CONNECT_SECONDS)
         except UnreachableError as error:
--- a/src/hoisthook/mesh/registration.py
+++ b/src/hoisthook/mesh/registration.py
@@ -1,4 +1,4 @@
-"""This node's record in the platform's store, and the records of the others."""
+"""Nodes' records in the platform's store: this node's own and those of the others."""
 
 from __future__ import annotations
 
@@ -12,6 +12,8 @@
 from hoisthook.port.record_store import KeyedRecord
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from hoisthook.mesh.peer_directory import PeerDirectory
@@ -82,8 +84,7 @@
             await asyncio.sleep(READ_SECONDS * (0.75 + 0.5 * self._randomness.random()))
             await self._until_done(self._read)
 
-    async def _until_done(self, step: object) -> None:
-        assert callable(step)
+    async def _until_done(self, step: Callable[[], Awaitable[object]]) -> None:
         while True:
             try:
                 await step()
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.mesh.hop_header import Admission
-from hoisthook.mesh.outcome import WholeAnswer
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
@@ -17,6 +16,7 @@
     from hoisthook.identity import NodeId
     from hoisthook.identity import ServiceName
     from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.outcome import WholeAnswer
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_choice import PeerChoice
     from hoisthook.mesh.peer_directory import PeerDirectory
@@ -149,7 +149,9 @@
             outcome = await self._try(view, call, admission, progress)
             if not self._goes_on(view, call, outcome, progress):
                 return Dispatched(outcome, progress.tries, progress.ran, progress.node)
-        return Dispatched(self._conclude(call, progress), progress.tries, progress.ran, progress.node)
+        return Dispatched(
+            self._conclude(call, progress), progress.tries, progress.ran, progress.node
+        )
 
     def _next(self, call: RoutedCall, progress: _Progress) -> tuple[PeerView, Admission] | None:
         now = self._clock.now()
--- a/src/hoisthook/node/beside.py
+++ b/src/hoisthook/node/beside.py
@@ -23,7 +23,6 @@
 
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
-    from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.adapter.http.message import Header
     from hoisthook.identity import Address
     from hoisthook.node.attempt import Attempt
--- a/src/hoisthook/traffic/traffic_configuration.py
+++ b/src/hoisthook/traffic/traffic_configuration.py
@@ -4,11 +4,14 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
 
-from hoisthook.identity import ServiceName
-from hoisthook.traffic.route import Route
 from hoisthook.traffic.route_table import RouteTable
 
+if TYPE_CHECKING:
+    from hoisthook.identity import ServiceName
+    from hoisthook.traffic.route import Route
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceTraits:
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -92,7 +92,9 @@
         self._server.abort()
         self._pool.close()
 
-    async def beat(self, node: Address, *, state: str = "ready", sequence: int | None = None) -> int:
+    async def beat(
+        self, node: Address, *, state: str = "ready", sequence: int | None = None
+    ) -> int:
         """Send a heartbeat; return the status of the answer."""
         self._sequence += 1
         number = self._sequence if sequence is None else sequence
--- /dev/null
+++ b/tests/mesh/test_configuration_watch.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.mesh import configuration_watch
+from standin.mesh_store import Outage
+from standin.mesh_system import RouteOptions
+
+if TYPE_CHECKING:
+    import pytest
+
+    from standin.mesh_system import MeshSystem
+
+TOPIC = "keyed.op"
+
+
+async def until(condition: object, seconds: float = 5.0) -> None:
+    """Wait until a condition holds; fail if it does not."""
+    assert callable(condition)
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def test_change_is_in_force_without_a_new_question(system: MeshSystem) -> None:
+    await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    await until(lambda: system.store.calls.count("log-read") >= 1)
+    before = len(system.store.calls)
+    system.publish(2, RouteOptions("shop"))
+    await system.until_configured(2)
+    assert len(system.store.calls) <= before + 1
+
+
+async def test_changes_in_quick_succession_cost_few_calls(system: MeshSystem) -> None:
+    await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    before = len(system.store.calls)
+    for version in range(2, 22):
+        system.publish(version, RouteOptions("shop"))
+        await asyncio.sleep(0.01)
+    await system.until_configured(21)
+    assert len(system.store.calls) - before <= 4
+
+
+async def test_older_version_is_not_taken(system: MeshSystem) -> None:
+    machine = await system.add("shop")
+    system.publish(5, RouteOptions("shop"))
+    await system.until_configured(5)
+    system.publish(4, RouteOptions("other"))
+    system.publish(6, RouteOptions("shop"))
+    await system.until_configured(6)
+    taken = [line["version"] for line in system.log.named("configuration_taken")]
+    assert taken == [5, 6]
+    assert machine.node.configuration.version == 6
+
+
+async def test_record_that_cannot_be_read_is_logged_and_not_believed_in_part(
+    system: MeshSystem,
+) -> None:
+    machine = await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    system.store.put(TOPIC, "config", b'{"version":2,"resources":[{"type":"routes"}]}')
+    await until(lambda: system.log.named("configuration_unreadable"))
+    assert machine.node.configuration.version == 1
+
+
+async def test_store_that_was_silent_is_read_soon_after_it_is_back(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", 0.05)
+    monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", 0.05)
+    await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    system.store.outage = Outage.SILENT
+    await until(lambda: system.log.named("store_lost"))
+    monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", 60.0)
+    monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", 60.0)
+    # Reads that began in the outage stay silent, as the store's pages say.
+    reads = system.store.calls.count("log-read")
+    await until(lambda: system.store.calls.count("log-read") > reads)
+    system.store.outage = Outage.NONE
+    system.publish(2, RouteOptions("shop"))
+    await asyncio.wait_for(system.until_configured(2), 3.0)
+    assert system.log.named("store_regained")
+
+
+async def test_history_that_was_forgotten_is_replaced_by_the_newest_record(
+    system: MeshSystem,
+) -> None:
+    machine = await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    machine.node._watch._offset = 0
+    system.publish(2, RouteOptions("shop"))
+    system.store.forget(TOPIC)
+    await system.until_configured(2)
+
+
+async def test_node_that_the_store_turns_away_learns_from_peers(system: MeshSystem) -> None:
+    first = await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    system.store.outage = Outage.BUSY
+    late = await system.add("front")
+    late.node.directory.merge([first.node.directory.me], "test")
+    await asyncio.wait_for(system.until_configured(1), 3.0)
+    taken = system.log.named("configuration_taken")
+    assert taken[-1]["source"] == "peer"
+
+
+async def test_node_that_knows_nobody_learns_from_the_first_request_that_a_peer_sends(
+    system: MeshSystem,
+) -> None:
+    entry = await system.add("front")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    system.store.outage = Outage.BUSY
+    server = await system.add("shop")
+    # On the platform, peers' ports are the same on all instances.
+    server.node.sync.peer_port = entry.node.peers_address[1]
+    entry.node.directory.merge([server.node.directory.me], "test")
+    status, _, _ = await system.call(entry)
+    assert status == 200
+    await asyncio.wait_for(system.until_configured(1), 3.0)
+
+
+async def test_node_behind_a_peer_asks_it_although_the_store_seems_well(
+    system: MeshSystem,
+) -> None:
+    ahead = await system.add("front")
+    behind = await system.add("shop")
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    behind.node.sync.peer_port = ahead.node.peers_address[1]
+    # Its wait for changes hangs, as on a connection that an outage has silenced.
+    for task in behind.node._tasks:
+        task.cancel()
+    system.publish(2, RouteOptions("shop"))
+    await until(lambda: ahead.node.configuration.version == 2)
+    await system.call(ahead)
+    await asyncio.wait_for(system.until_configured(2), 3.0)
+    assert system.log.named("configuration_behind")
+
+
+async def test_nodes_find_each_other_through_the_store(system: MeshSystem) -> None:
+    first = await system.add("front")
+    second = await system.add("shop")
+    await until(lambda: len(first.node.directory) == 2 and len(second.node.directory) == 2)
+
+
+async def test_node_that_registered_before_writes_nothing_again(system: MeshSystem) -> None:
+    machine = await system.add("shop")
+    await until(lambda: system.log.named("registered"))
+    writes = system.store.calls.count("log-append")
+    await machine.node._registration._register()
+    assert system.store.calls.count("log-append") == writes
+
+
+async def test_registration_survives_a_lost_answer(system: MeshSystem) -> None:
+    system.store.outage = Outage.ANSWER_LOST
+    machine = await system.add("shop")
+    await until(lambda: system.log.named("registration_delayed"))
+    system.store.outage = Outage.NONE
+    other = await system.add("front")
+    await until(lambda: len(other.node.directory) == 2)
+    assert machine.node.directory.me in other.node.directory.peers()
+
+
+async def test_background_task_that_fails_is_told_of_and_started_again(
+    system: MeshSystem,
+) -> None:
+    machine = await system.add("shop")
+    failures = iter([ValueError("broken")])
+
+    async def fails_once() -> None:
+        for failure in failures:
+            raise failure
+        await asyncio.Event().wait()
+
+    machine.node._run(fails_once)
+    await until(lambda: system.log.named("task_failed"))
+    assert "broken" in str(system.log.named("task_failed")[0]["reason"])
