Soak of real processes, the platform path by hand, and a command that explains a request

Change: nodes as separate processes behind proxies (peers, store) under signals, outages, drains, spoiled answers and changes; promises checked from what callers and backend servers see.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 POETRY = .poetry/bin/poetry
 BIN = .venv/bin
 
-.PHONY: install run seva test lint bench bench-policies bench-transports capacity dist generate
+.PHONY: install run platform soak seva test lint bench bench-policies bench-transports capacity dist generate
 
 install: .venv/.installed
 
@@ -15,6 +15,12 @@
 run: install
 	$(BIN)/python -m standin.run
 
+platform: install
+	PYTHONPATH=src:platform $(BIN)/python -m standin.mesh_run
+
+soak: install
+	PYTHONPATH=src:platform $(BIN)/python -m standin.soak --seeds 5
+
 seva: install
 	$(BIN)/python -m standin.run --seva
 
--- a/src/hoisthook/console/application.py
+++ b/src/hoisthook/console/application.py
@@ -10,6 +10,7 @@
 from hoisthook.console.commands.codes import CodesCommand
 from hoisthook.console.commands.delete_service import DeleteServiceCommand
 from hoisthook.console.commands.drain import DrainCommand
+from hoisthook.console.commands.explain import ExplainCommand
 from hoisthook.console.commands.get_service import GetServiceCommand
 from hoisthook.console.commands.history import HistoryCommand
 from hoisthook.console.commands.list_backend_servers import ListBackendServersCommand
@@ -33,6 +34,7 @@
     CheckCommand(),
     SchemaCommand(),
     CodesCommand(),
+    ExplainCommand(),
     PutServiceCommand(),
     GetServiceCommand(),
     ListServicesCommand(),
--- a/src/hoisthook/console/commands/check.py
+++ b/src/hoisthook/console/commands/check.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from hoisthook.settings.settings_file import load_mesh_settings
 from hoisthook.settings.settings_file import load_settings
 
 if TYPE_CHECKING:
@@ -21,9 +22,15 @@
     def configure(self, parser: argparse.ArgumentParser) -> None:
         """Add the command's arguments."""
         parser.add_argument("file", type=Path, help="settings in TOML")
+        parser.add_argument(
+            "--platform", action="store_true", help="settings of a node on the platform"
+        )
 
     def handle(self, arguments: argparse.Namespace) -> int:
         """Run it and return the exit status."""
-        settings = load_settings(arguments.file)
-        sys.stdout.write(f"{arguments.file}: settings of node {settings.node.id} are valid\n")
+        if arguments.platform:
+            node = load_mesh_settings(arguments.file).node.id
+        else:
+            node = load_settings(arguments.file).node.id
+        sys.stdout.write(f"{arguments.file}: settings of node {node} are valid\n")
         return 0
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -259,6 +259,10 @@
         5006, 0, Ran.UNKNOWN, "The operators' call got no answer.", "Repeat with the same id."
     )
 
+    LOG_FILE_UNREADABLE = CodeEntry(
+        5007, 0, Ran.NOT_RUN, "A log file cannot be read.", "Check path and permissions."
+    )
+
     @property
     def number(self) -> int:
         """Return the stable number."""
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -68,6 +69,7 @@
         self.healthy = True
         self.fault = Fault.NONE
         self.arrivals: list[Arrival] = []
+        self.arrival_times: list[float] = []
         self.runs: list[str] = []
         self.cancelled: list[str] = []
         self.health_reads = 0
@@ -141,6 +143,7 @@
             body += data
         request_id = headers[b"x-request-id"].decode()
         self.arrivals.append(Arrival(request_id, exchange.head.target, headers, body))
+        self.arrival_times.append(time.monotonic())
         self.arrived.set()
         expected = headers.get(b"x-expect-instance")
         if expected is not None and expected.decode() != self.instance:
--- a/standin/mesh_store.py
+++ b/standin/mesh_store.py
@@ -17,6 +17,8 @@
 from hoisthook.adapter.http.call_server import CallServer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
 
@@ -79,6 +81,8 @@
         Hosts that the outage is for; empty for all.
     calls : list of str
         Names of the calls taken, in order.
+    on_append : callable or None
+        Given topic and content of each record that a node appends; returns what is kept.
     """
 
     def __init__(self, address: Address = ("127.0.0.1", 0)) -> None:
@@ -86,6 +90,7 @@
         self.outage = Outage.NONE
         self.only: set[str] = set()
         self.calls: list[str] = []
+        self.on_append: Callable[[str, bytes], bytes] | None = None
         self._server = CallServer(address, self._serve)
 
     @property
@@ -151,7 +156,10 @@
         while position < len(body):
             (length,) = LENGTH.unpack_from(body, position)
             position += LENGTH.size
-            contents.append(body[position : position + length])
+            content = body[position : position + length]
+            if self.on_append is not None:
+                content = self.on_append(fields["topic"][0], content)
+            contents.append(content)
             position += length
         return self.topic(fields["topic"][0]).append(contents)
 
--- /dev/null
+++ b/tests/console/test_explain.py
@@ -0,0 +1,65 @@
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from hoisthook.console.application import run
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    import pytest
+
+LINES: list[dict[str, object]] = [
+    {"time": 9.0, "node": "n-2", "event": "store_lost", "reason": "silent"},
+    {"time": 5.0, "node": "n-2", "event": "store_lost", "reason": "older"},
+    {"time": 9.5, "node": "n-9", "event": "store_lost", "reason": "elsewhere"},
+    {
+        "time": 10.02,
+        "node": "n-1",
+        "event": "answered",
+        "request": "a",
+        "code": 2006,
+        "service": "s",
+    },
+    {"time": 10.01, "node": "n-2", "event": "not_admitted", "request": "a", "code": 2006},
+    {"time": 10.0, "node": "n-3", "event": "answered", "request": "a.1", "code": 0, "took_ms": 3.0},
+    {"time": 10.0, "node": "n-1", "event": "answered", "request": "b", "code": 0, "service": "s"},
+]
+
+
+def written(folder: Path) -> str:
+    path = folder / "node.log"
+    text = "".join(json.dumps(line, separators=(",", ":")) + "\n" for line in LINES)
+    path.write_text("another program's output\n" + text + '{"time":broken\n')
+    return str(path)
+
+
+def test_story_is_in_order_of_time_with_beliefs_their_age_and_the_codes_name(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(["explain", "--request", "a", written(tmp_path)]) == 0
+    told = capsys.readouterr().out.splitlines()
+    assert told[0].endswith("n-2 store_lost (1.000 s before) reason=silent")
+    assert [line.split()[2] for line in told[1:]] == ["answered", "not_admitted", "answered"]
+    assert "code=2006 SLOTS_FULL" in told[-1]
+    assert told[-1].lstrip().startswith("+20.0ms n-1")
+    assert len(told) == 4
+
+
+def test_request_that_no_line_names_has_status_one(tmp_path: Path) -> None:
+    assert run(["explain", "--request", "zzz", written(tmp_path)]) == 1
+
+
+def test_summary_counts_failures_by_code_service_and_node(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(["explain", written(tmp_path)]) == 0
+    assert capsys.readouterr().out.strip() == "1 2006 SLOTS_FULL service s at n-1"
+
+
+def test_file_that_cannot_be_read_is_numbered(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(["explain", str(tmp_path / "none")]) == 2
+    assert capsys.readouterr().err.startswith("5007 LOG_FILE_UNREADABLE")
--- /dev/null
+++ b/tests/settings/test_mesh_settings.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from hoisthook.console.application import run
+from hoisthook.exceptions import SettingsError
+from hoisthook.result_code import ResultCode
+from hoisthook.settings.settings_file import load_mesh_settings
+
+ROOT = Path(__file__).parent.parent.parent
+TEMPLATE = ROOT / "platform" / "settings.toml.template"
+VALUES = {
+    "nodeName": "node-1",
+    "zone": "one",
+    "service": "shop",
+    "bootstrap|json": "true",
+    "ip": "10.0.0.1",
+    "portRange.0": "7000",
+    "app": "10.0.0.1:8",
+    "platform.address": "10.9.0.1:9",
+    "bounds.graceS": "6",
+    "bounds.budgetRatio": "0.2",
+    "bounds.budgetWindowS": "10",
+    "bounds.budgetExtra": "58",
+}
+
+
+def filled() -> str:
+    """Return the settings as the platform fills the template."""
+
+    def value(match: re.Match[str]) -> str:
+        name = match.group(1)
+        return "10.0.0.1:1" if name.startswith("listen.") else VALUES[name]
+
+    return re.sub(r"{{([^}]+)}}", value, TEMPLATE.read_text())
+
+
+def test_filled_template_is_valid(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(filled())
+    settings = load_mesh_settings(path)
+    assert settings.node.first_start
+    assert settings.retry.extra == 58
+    assert run(["check", "--platform", str(path)]) == 0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "code", "named"),
+    [
+        ('id = "node-1"', 'id = ""', ResultCode.SETTINGS_VALUE, "node.id"),
+        ('id = "node-1"', "", ResultCode.SETTINGS_INVALID, "id"),
+        ('service = "shop"', 'service = "a b"', ResultCode.SETTINGS_VALUE, "node.service"),
+        ("10.9.0.1:9", "nowhere", ResultCode.SETTINGS_VALUE, "store.address"),
+        ("ratio = 0.2", "ratio = 2.0", ResultCode.SETTINGS_VALUE, "retry.ratio"),
+        ("ratio = 0.2", "ratio = 'x'", ResultCode.SETTINGS_INVALID, "retry.ratio"),
+        ("[store]", "[store]\ncolour = 1", ResultCode.SETTINGS_INVALID, "colour"),
+        ("[store]", "[store", ResultCode.SETTINGS_SYNTAX, "line"),
+    ],
+)
+def test_bad_settings_name_file_key_and_rule(
+    tmp_path: Path, old: str, new: str, code: ResultCode, named: str
+) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(filled().replace(old, new))
+    with pytest.raises(SettingsError) as caught:
+        load_mesh_settings(path)
+    assert caught.value.code is code
+    assert str(path) in caught.value.detail
+    assert named in caught.value.detail
+
+
+def test_pins_of_the_build_agree_with_the_lock() -> None:
+    from tool.generate_pins import PINS
+    from tool.generate_pins import pins
+
+    assert PINS.read_text() == pins()
