The last node asked no longer hides which node wrote the line

Its test failed first. Change: the field is named sent_to; a test keeps fields from hiding the head's.

--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -129,7 +129,7 @@
             configuration=configuration.version,
             tries=done.tries,
             ran=done.ran,
-            node=done.node,
+            sent_to=done.node,
         )
 
     def _call(
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -319,6 +319,17 @@
     assert [line["request"] for line in system.log.named("backend_lost")] == ["lost"]
 
 
+async def test_no_line_has_a_field_that_hides_who_wrote_it(system: MeshSystem) -> None:
+    entry, server = await two_services(system)
+    await system.call(entry)
+    server.backend.fault = Fault.ERROR
+    await system.call(entry)
+    server.crash()
+    await system.call(entry)
+    for _, fields in system.log.lines:
+        assert not fields.keys() & {"time", "node", "event"}
+
+
 async def test_body_beyond_the_limit_is_413(system: MeshSystem) -> None:
     entry, server = await two_services(system, safe=False)
     status, _, _ = await system.call(entry, method=b"POST", body=b"x" * 100_001)
