--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -147,6 +147,8 @@
                 break
             view, admission = step
             outcome = await self._try(view, call, admission, progress)
+            if isinstance(outcome, Refused) and admission is Admission.QUEUE:
+                progress.left_out.add(view.peer.node)
             if not self._goes_on(view, call, outcome, progress):
                 return Dispatched(outcome, progress.tries, progress.ran, progress.node)
         return Dispatched(
--- /dev/null
+++ b/tests/mesh/test_leaving.py
@@ -0,0 +1,171 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hoisthook.adapter.http.call_server import CallServer
+from hoisthook.identity import ServiceName
+from hoisthook.identity import parse_address
+from hoisthook.mesh import mesh_node
+from hoisthook.mesh import peer_hop
+from standin.mesh_backend import Fault
+from standin.mesh_system import RouteOptions
+
+if TYPE_CHECKING:
+    from standin.mesh_system import Machine
+    from standin.mesh_system import MeshSystem
+
+
+@pytest.fixture(autouse=True)
+def short_linger(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(mesh_node, "LINGER_SECONDS", 0.2)
+
+
+async def shops(system: MeshSystem, count: int, *, safe: bool = True) -> list[Machine]:
+    """Return an entry beside another service and ``count`` nodes of the route's service."""
+    machines = [await system.add("front")]
+    for number in range(count):
+        machines.append(await system.add("shop", data_centre=f"dc-{number}"))
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop", safe=safe))
+    await system.until_configured(1)
+    return machines
+
+
+async def test_stopping_node_finishes_what_runs_and_admits_nothing_more(
+    system: MeshSystem,
+) -> None:
+    entry, server = await shops(system, 1, safe=False)
+    server.backend.work_seconds = 0.5
+    running = asyncio.create_task(system.call(entry, method=b"POST", request_id="runs"))
+    await server.backend.arrived.wait()
+    closing = asyncio.create_task(server.node.close())
+    await asyncio.sleep(0)
+    assert not server.node.ready
+    status, _, _ = await system.call(entry, method=b"POST", request_id="late")
+    assert status == 503
+    assert (await running)[0] == 200
+    assert await closing
+    assert server.backend.runs == ["runs"]
+
+
+async def test_stopping_node_still_serves_its_callers_and_tells_them_to_leave(
+    system: MeshSystem,
+) -> None:
+    entry, _ = await shops(system, 1)
+    closing = asyncio.create_task(entry.node.close())
+    await asyncio.sleep(0)
+    status, headers, _ = await system.call(entry)
+    assert (status, headers[b"connection"]) == (200, b"close")
+    assert await closing
+
+
+async def test_request_that_waits_for_a_slot_goes_elsewhere_when_its_backend_server_drains(
+    system: MeshSystem,
+) -> None:
+    entry, first, second = await shops(system, 2)
+    for machine in (first, second):
+        machine.backend.work_seconds = 0.3
+    calls = [asyncio.create_task(system.call(entry)) for _ in range(8)]
+    while first.backend.running + second.backend.running < 8:
+        await asyncio.sleep(0.005)
+    waiting = asyncio.create_task(system.call(entry))
+    while not first.node.link.gate.waiting + second.node.link.gate.waiting:
+        await asyncio.sleep(0.001)
+    drained = first if first.node.link.gate.waiting else second
+    arrivals = len(drained.backend.arrivals)
+    assert await drained.beat("draining") == 200
+    await waiting
+    await asyncio.gather(*calls)
+    assert len(drained.backend.arrivals) == arrivals
+
+
+async def test_no_more_backend_servers_run_a_request_than_its_route_allows(
+    system: MeshSystem,
+) -> None:
+    entry, *servers = await shops(system, 3)
+    for server in servers:
+        server.backend.fault = Fault.ERROR
+    status, _, _ = await system.call(entry)
+    assert status == 500
+    assert sum(len(server.backend.runs) for server in servers) == 2
+
+
+async def test_budget_bounds_the_extra_tries_of_a_service_that_fails(system: MeshSystem) -> None:
+    entry, *servers = await shops(system, 3)
+    for server in servers:
+        server.backend.fault = Fault.ERROR
+    calls = 60
+    for _ in range(calls):
+        await system.call(entry)
+    retry = entry.node.settings.retry
+    allowed = calls * retry.ratio + retry.extra / len(entry.node.directory)
+    runs = sum(len(server.backend.runs) for server in servers)
+    assert calls < runs <= calls + allowed
+    assert any(not line["granted"] for line in system.log.named("extra_try"))
+
+
+async def test_replaced_node_at_the_same_address_is_used_again(system: MeshSystem) -> None:
+    entry, server = await shops(system, 1)
+    assert (await system.call(entry))[0] == 200
+    server.crash()
+    assert (await system.call(entry))[0] in (502, 503)
+    address = parse_address(server.node.settings.listen.peers)
+    server.node._peers = CallServer(address, server.node._serve_peer)
+    await server.node._peers.start()
+    async with asyncio.timeout(5.0):
+        while (await system.call(entry))[0] != 200:
+            await asyncio.sleep(0.02)
+
+
+async def test_hop_that_is_cut_after_the_request_left_is_not_called_not_run(
+    system: MeshSystem,
+) -> None:
+    entry, server = await shops(system, 1, safe=False)
+    server.backend.work_seconds = 30.0
+    running = asyncio.create_task(system.call(entry, method=b"POST"))
+    await server.backend.arrived.wait()
+    server.crash()
+    status, _, _ = await running
+    assert status == 502
+    assert system.log.named("hop_lost")
+
+
+async def test_silent_node_costs_one_connection_timeout_and_is_then_left_alone(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry, first, _ = await shops(system, 2)
+    opened: list[object] = []
+    real = entry.node._peer_pool.open
+
+    async def silent(address: tuple[str, int], timeout: float) -> object:
+        opened.append(address)
+        if address == first.node.peers_address:
+            await asyncio.sleep(0)
+            raise peer_hop.UnreachableError("silent")
+        return await real(address, timeout)
+
+    monkeypatch.setattr(entry.node._peer_pool, "open", silent)
+    for _ in range(10):
+        assert (await system.call(entry))[0] == 200
+    assert opened.count(first.node.peers_address) <= 1
+
+
+async def test_drained_backend_server_is_used_again_once_it_is_ready(system: MeshSystem) -> None:
+    entry, server = await shops(system, 1)
+    assert await server.beat("draining") == 200
+    assert (await system.call(entry))[0] == 503
+    assert await server.beat("ready") == 200
+    assert (await system.call(entry))[0] == 200
+
+
+async def test_forgotten_peers_are_found_again_in_the_store(system: MeshSystem) -> None:
+    entry, _ = await shops(system, 1)
+    async with asyncio.timeout(5.0):
+        while len(system.log.named("registered")) < 2:
+            await asyncio.sleep(0.01)
+    entry.node.directory.forget("node-2", "test")  # type: ignore[arg-type]
+    await entry.node._registration._read()
+    assert len(list(entry.node.directory.serving(ServiceName("shop")))) == 1
