Soak: one start a place, ports that no outgoing connection takes; one check for a drain instead of two

Both are faults of the tool. Taking mechanisms out one at a time showed two checks of a drain, each hiding the other: a waiting request is sent away by the drain itself, so the second one is needless.

--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -194,9 +194,6 @@
 
     async def _run_admitted(self, call: RoutedCall) -> Outcome:
         try:
-            # The state may have changed while the request waited for its slot.
-            if not self.belief.takes_work:
-                return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
             connection = await self._connect(call)
             if isinstance(connection, Refused):
                 return connection
--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -59,6 +59,7 @@
     first_start: bool = True
     process: asyncio.subprocess.Process | None = None
     state: str = "ready"
+    is_starting: bool = False
 
 
 class MeshCluster:
@@ -119,7 +120,10 @@
         self.store.put(TOPIC, KEY, record)
 
     async def start_node(self, place: MeshPlace) -> None:
-        """Start the node of a place."""
+        """Start the node of a place, unless it runs: faults that overlap may both ask for it."""
+        if (place.process is not None and place.process.returncode is None) or place.is_starting:
+            return
+        place.is_starting = True
         path = self.folder / f"{place.name}.toml"
         path.write_text(self._settings(place))
         with (self.folder / f"{place.name}.log").open("ab") as lines:
@@ -129,6 +133,7 @@
                 stderr=lines,
                 env={**os.environ, "HOISTHOOK_BOOT": str(path)},
             )
+        place.is_starting = False
         place.first_start = False
 
     async def kill(self, place: MeshPlace) -> None:
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from typing import TYPE_CHECKING
 
@@ -30,11 +31,13 @@
 from standin.mesh_store import StoreStandin
 
 if TYPE_CHECKING:
-    from hoisthook.identity import Address
     from hoisthook.port.event_log import EventLog
 
 HOST = "127.0.0.1"
 ANY_PORT = f"{HOST}:0"
+FIRST_PORT = 10_000
+LAST_PORT = 30_000
+PORTS_PER_PROCESS = 131
 
 
 class ListLog:
@@ -266,9 +269,24 @@
         return Machine(node, LocalEndpoints(node, log), backend)
 
 
+_given: set[int] = set()
+
+
 def free_address() -> str:
-    """Return an address on loopback that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        address: Address = probe.getsockname()
-        return format_address(address)
+    """Return an address on loopback that nothing listens on.
+
+    The port is below those that the system gives to outgoing connections, so that none of
+    them takes it before its listener does; processes side by side begin at their own ids.
+    """
+    for offset in range(LAST_PORT - FIRST_PORT):
+        port = FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + offset) % (LAST_PORT - FIRST_PORT)
+        if port in _given:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _given.add(port)
+        return format_address((HOST, port))
+    raise OSError("no free port on loopback")
--- a/tool/prove.py
+++ b/tool/prove.py
@@ -1,8 +1,9 @@
 """Takes each mechanism out in a scratch copy and runs the tests that should fail.
 
-Usage: python tool/prove.py [NAME ...]
+Usage: python tool/prove.py [--mesh] [NAME ...]
 
-Reads ``tool/mutations.toml``. For each entry the text ``old`` is replaced by
+Reads ``tool/mutations.toml`` (files below ``src/hoisthook``) and, with ``--mesh``,
+``tool/mesh_mutations.toml`` (files below the root) instead. For each entry the text ``old`` is replaced by
 ``new`` in ``file``, and ``tests`` are run; the mechanism counts as proved if at
 least one of them fails. The working tree itself is never changed.
 """
@@ -23,7 +24,21 @@
 ROOT = Path(__file__).parent.parent
 PARALLEL = 3
 TIMEOUT_SECONDS = 240
-COPIED = ("src", "tests", "standin", "tool", "benchmark", "pyproject.toml", "docs", "README.md")
+COPIED = (
+    "src",
+    "platform",
+    "tests",
+    "standin",
+    "tool",
+    "benchmark",
+    "deploy",
+    "pyproject.toml",
+    "poetry.lock",
+    "docs",
+    "README.md",
+)
+PACKAGE = "src/hoisthook"
+MESH = "--mesh"
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +64,7 @@
                 shutil.copytree(source, copy / name, ignore=ignored)
             elif source.exists():
                 shutil.copy(source, copy / name)
-        path = copy / "src" / "hoisthook" / mutation.file
+        path = copy / mutation.file
         text = path.read_text()
         if text.count(mutation.old) != 1:
             return f"| {mutation.name} | {mutation.promise} | text found {text.count(mutation.old)}"
@@ -60,7 +75,9 @@
 def _run_tests(folder: Path, tests: str) -> str:
     command = [sys.executable, "-m", "pytest", "-n0", "-x", "--no-header", *tests.split()]
     # The copy's sources must win over the installed ones.
-    environment = os.environ | {"PYTHONPATH": f"{folder / 'src'}{os.pathsep}{folder}"}
+    environment = os.environ | {
+        "PYTHONPATH": os.pathsep.join(str(folder / name) for name in ("src", "platform", ""))
+    }
     try:
         done = subprocess.run(
             command,
@@ -81,12 +98,23 @@
     return f"| {mutation.name} | {mutation.promise} | `{mutation.file}` | `{failed}` |"
 
 
+def _mutations() -> list[Mutation]:
+    table = tomllib.loads((ROOT / "tool" / "mutations.toml").read_text())
+    entries = table["mutation"]
+    return [Mutation(**{**entry, "file": f"{PACKAGE}/{entry['file']}"}) for entry in entries]
+
+
+def _mesh_mutations() -> list[Mutation]:
+    table = tomllib.loads((ROOT / "tool" / "mesh_mutations.toml").read_text())
+    return [Mutation(**entry) for entry in table["mutation"]]
+
+
 def main() -> None:
     """Prove all mutations, or those named."""
-    table = tomllib.loads((ROOT / "tool" / "mutations.toml").read_text())
-    mutations = [Mutation(**entry) for entry in table["mutation"]]
-    if sys.argv[1:]:
-        mutations = [mutation for mutation in mutations if mutation.name in sys.argv[1:]]
+    names = [argument for argument in sys.argv[1:] if argument != MESH]
+    mutations = _mesh_mutations() if MESH in sys.argv[1:] else _mutations()
+    if names:
+        mutations = [mutation for mutation in mutations if mutation.name in names]
     sys.stdout.write("| mechanism taken out | promise | file | first test that fails |\n")
     sys.stdout.write("|---|---|---|---|\n")
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
