Within a priority the request that is due first goes first

Cause: calls that a running request waits for were refused after 26 ms behind requests of the same priority with four times their target; each such refusal spoils the request that waits. Change: waiters of one priority are ordered by when their target latency ends.

--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -11,12 +11,16 @@
 @dataclass(order=True, slots=True)
 class _Waiter:
     priority: int
+    due: float
     number: int
     admitted: asyncio.Future[bool] = field(compare=False)
 
 
 class PriorityGate:
-    """At most ``limit`` requests run; others wait in order of priority, then of arrival.
+    """At most ``limit`` requests run; others wait in order of priority, then of urgency.
+
+    Among requests of one priority the one whose target latency ends first goes first: a
+    short call on which a longer request waits is not held up by requests with time to spare.
 
     Parameters
     ----------
@@ -54,7 +58,7 @@
         self._limit = limit
         self._admit()
 
-    async def enter(self, priority: int, max_wait: float) -> bool:
+    async def enter(self, priority: int, max_wait: float, *, due: float = 0.0) -> bool:
         """Take a slot.
 
         Parameters
@@ -63,6 +67,8 @@
             Rank; 0 is the most urgent.
         max_wait : float
             Seconds to wait at most.
+        due : float
+            When its target latency ends, on any clock that all callers share.
 
         Returns
         -------
@@ -76,7 +82,7 @@
             return False
         self._numbers += 1
         admitted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiters, _Waiter(priority, self._numbers, admitted))
+        heapq.heappush(self._waiters, _Waiter(priority, due, self._numbers, admitted))
         try:
             async with asyncio.timeout(max_wait):
                 return await admitted
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -150,7 +150,8 @@
         refused = self._refuse(call, admission, max_wait)
         if refused is None:
             wait = max_wait if admission is Admission.QUEUE else 0.0
-            if await self.gate.enter(call.priority, wait):
+            due = call.received + call.target_latency
+            if await self.gate.enter(call.priority, wait, due=due):
                 return await self._run_admitted(call)
             refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
         self._log_refusal(call, admission, refused)
--- a/tests/admission/test_priority_gate.py
+++ b/tests/admission/test_priority_gate.py
@@ -27,6 +27,24 @@
     assert order == [0, 0, 1, 2]
 
 
+async def test_within_a_priority_the_one_due_first_goes_first() -> None:
+    gate = PriorityGate(1)
+    assert await gate.enter(0, 0.0)
+    order: list[float] = []
+
+    async def wait(due: float) -> None:
+        if await gate.enter(1, 5.0, due=due):
+            order.append(due)
+
+    waiting = [asyncio.create_task(wait(due)) for due in (3.0, 1.0, 2.0)]
+    await asyncio.sleep(0)
+    for _ in range(3):
+        gate.leave()
+        await asyncio.sleep(0)
+    await asyncio.gather(*waiting)
+    assert order == [1.0, 2.0, 3.0]
+
+
 async def test_no_wait_is_refused_at_once() -> None:
     gate = PriorityGate(1)
     assert await gate.enter(0, 0.0)
