--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 
 capacity: install
 	$(BIN)/python -m benchmark.capacity
+	PYTHONPATH=src:platform:. $(BIN)/python -m benchmark.mesh_capacity
 
 dist: install
 	$(BIN)/python tool/build_dist.py
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -11,6 +11,7 @@
 from hoisthook.configuration.service_spec import ServiceSpec
 from hoisthook.console.commands.codes import table_lines
 from hoisthook.result_code import ResultCode
+from hoisthook.settings.mesh_settings import MeshSettings
 from hoisthook.settings.node_settings import NodeSettings
 
 DOCS = Path(__file__).parent.parent.parent / "docs"
@@ -36,11 +37,16 @@
     return str(getattr(default, "value", default))
 
 
-def model() -> dict[str, str]:
+def keys_of(settings: type[msgspec.Struct]) -> dict[str, str]:
     defaults = {}
-    for table in msgspec.structs.fields(NodeSettings):
+    for table in msgspec.structs.fields(settings):
         for field in msgspec.structs.fields(table.type):
             defaults[f"{table.name}.{field.name}"] = stated(field.default)
+    return defaults
+
+
+def model() -> dict[str, str]:
+    defaults = keys_of(NodeSettings)
     for field in msgspec.structs.fields(ServiceSpec):
         defaults[field.name] = stated(field.default)
     return defaults
@@ -50,6 +56,10 @@
     assert rows_of((DOCS / "CONFIGURATION.md").read_text()) == model()
 
 
+def test_platform_settings_page_states_each_key_and_default() -> None:
+    assert rows_of((DOCS / "PLATFORM_SETTINGS.md").read_text()) == keys_of(MeshSettings)
+
+
 def test_result_codes_page_is_the_programs_own_table() -> None:
     assert "\n".join(table_lines()) in (DOCS / "RESULT_CODES.md").read_text()
 
