--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hoisthook.admission.priority_gate import PriorityGate
-from hoisthook.admission.service_time import ServiceTime
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh.backend_belief import BackendBelief
 from hoisthook.mesh.backend_belief import BackendState
 from hoisthook.mesh.beside_load import BesideLoad
+from hoisthook.mesh.health_reader import CONNECT_SECONDS
+from hoisthook.mesh.health_reader import UNREACHABLE_SECONDS
+from hoisthook.mesh.health_reader import HealthReader
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import WholeAnswer
 from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.mesh.work_times import WorkTimes
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.port.backend_wire import AnswerKind
@@ -27,7 +29,6 @@
     from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.identity import Address
     from hoisthook.identity import InstanceId
-    from hoisthook.identity import RouteName
     from hoisthook.measure.measure_budget import MeasureBudget
     from hoisthook.mesh.backend_belief import Announcement
     from hoisthook.mesh.outcome import Outcome
@@ -36,21 +37,14 @@
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
 
-# The backend server is on the same instance, where a connection takes about a millisecond.
-CONNECT_SECONDS = 0.1
-# How long a backend server that refuses connections is left alone.
-UNREACHABLE_SECONDS = 0.3
 DRAINING_RETRY_SECONDS = 1.0
 # A load report older than this is renewed before a request is admitted by it: load shifts
 # every few hundred milliseconds, so this one still holds for most of them.
 LOAD_MAX_AGE_SECONDS = 0.1
-PROBE_SECONDS = 0.05
 # Slower than this is not normal variation.
 SLOW_FACTOR = 1.7
 # Assumed until the first load report or announcement.
 DEFAULT_SLOTS = 4
-# A first guess of how long work takes, as a share of the target latency.
-WORK_SHARE_OF_TARGET = 0.3
 FAILURE_STATUS = 500
 MIN_RETRY_AFTER_SECONDS = 0.02
 
@@ -107,11 +101,10 @@
         self._budget = budget
         self._settings = settings
         self._log = log
-        self._probe: asyncio.Task[None] | None = None
-        self._work_by_route: dict[RouteName, ServiceTime] = {}
+        self._work = WorkTimes()
         self.belief = BackendBelief(log)
+        self.health = HealthReader(address, wire, pool, self.belief, clock, log)
         self.gate = PriorityGate(DEFAULT_SLOTS)
-        self.health_path: str | None = None
         self.stopping = False
 
     def announced(self, announcement: Announcement) -> None:
@@ -157,16 +150,9 @@
         self._log_refusal(call, admission, refused)
         return refused
 
-    async def probe(self) -> None:
-        """Read the backend server's health once; several callers share one read."""
-        if self._probe is None or self._probe.done():
-            self._probe = asyncio.get_running_loop().create_task(self._read_health())
-        await asyncio.shield(self._probe)
-
     def close(self) -> None:
-        """Stop a read of the load that is under way."""
-        if self._probe is not None:
-            self._probe.cancel()
+        """Stop what is under way besides requests."""
+        self.health.close()
 
     def _refuse(self, call: RoutedCall, admission: Admission, max_wait: float) -> Refused | None:
         now = self._clock.now()
@@ -188,7 +174,7 @@
     def _refuse_direct(self, call: RoutedCall, now: float) -> Refused | None:
         if not self.gate.has_room:
             return Refused(ResultCode.SLOTS_FULL, self._time_to_slot(call))
-        expected = self._work(call) * self.belief.slowdown
+        expected = self._work.usual(call) * self.belief.slowdown
         if self.belief.slowdown >= SLOW_FACTOR and expected > call.target_left(now):
             return Refused(ResultCode.BACKEND_SERVER_SLOW, LOAD_MAX_AGE_SECONDS)
         return None
@@ -247,7 +233,7 @@
         head, body = answered
         outcome = self._read_answer(call, head, body)
         if isinstance(outcome, WholeAnswer) and outcome.status < FAILURE_STATUS:
-            self._learn_work(call, took / max(1.0, slowdown))
+            self._work.learn(call, took, slowdown)
         return outcome
 
     def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
@@ -273,10 +259,11 @@
                 return WholeAnswer(head.status, reading.headers, body)
 
     async def _refresh_load(self, admission: Admission) -> None:
-        if self._should_probe(admission, self._clock.now()):
-            await self.probe()
+        if self._should_read_health(admission, self._clock.now()):
+            await self.health.read()
+            self._adapt()
 
-    def _should_probe(self, admission: Admission, now: float) -> bool:
+    def _should_read_health(self, admission: Admission, now: float) -> bool:
         belief = self.belief
         if belief.state is BackendState.UNKNOWN:
             return True
@@ -285,39 +272,7 @@
             return False
         if now - belief.load_at <= LOAD_MAX_AGE_SECONDS:
             return False
-        is_probing = self._probe is not None and not self._probe.done()
-        return is_probing or self._budget.take(now)
-
-    async def _read_health(self) -> None:
-        if self.health_path is None:
-            return
-        try:
-            connection = await self._pool.acquire(self._address, CONNECT_SECONDS)
-        except UnreachableError:
-            self.belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
-            return
-        host = f"{self._address[0]}:{self._address[1]}".encode()
-        answered = await exchange_whole(
-            connection,
-            b"GET",
-            self.health_path.encode(),
-            [(b"host", host)],
-            b"",
-            timeout=PROBE_SECONDS,
-        )
-        if isinstance(answered, Lost):
-            self._log.event("health_unanswered", instance=self.belief.instance)
-            return
-        self._pool.keep(self._address, connection)
-        head, _ = answered
-        reading = self._wire.read(head)
-        if reading.instance is not None and head.status < FAILURE_STATUS:
-            self.belief.answered_as(reading.instance)
-        elif head.status >= FAILURE_STATUS:
-            self.belief.refused_health()
-        if reading.load is not None:
-            self.belief.loaded(reading.load, self._clock.now())
-            self._adapt()
+        return self.health.is_reading or self._budget.take(now)
 
     def _adapt(self) -> None:
         slots = self.belief.slots or DEFAULT_SLOTS
@@ -327,20 +282,11 @@
         if not self.belief.takes_work:
             self.gate.refuse_waiting()
 
-    def _work(self, call: RoutedCall) -> float:
-        known = self._work_by_route.get(call.route)
-        if known is None or not known.known:
-            return call.target_latency * WORK_SHARE_OF_TARGET
-        return known.typical
-
-    def _learn_work(self, call: RoutedCall, seconds: float) -> None:
-        self._work_by_route.setdefault(call.route, ServiceTime()).add(seconds)
-
     def _expected_wait(self, call: RoutedCall) -> float:
         if self.gate.has_room:
             return 0.0
         ahead = self.gate.waiting_before(call.priority) + 1
-        return ahead * self._work(call) * self.belief.slowdown / self.gate.limit
+        return ahead * self._work.usual(call) * self.belief.slowdown / self.gate.limit
 
     def _time_to_slot(self, call: RoutedCall) -> float:
         return max(MIN_RETRY_AFTER_SECONDS, self._expected_wait(call))
--- /dev/null
+++ b/src/hoisthook/mesh/health_reader.py
@@ -0,0 +1,110 @@
+"""Reads the health and load of the backend server beside."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.exceptions import UnreachableError
+from hoisthook.identity import format_address
+from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.node.call import Lost
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.identity import Address
+    from hoisthook.mesh.backend_belief import BackendBelief
+    from hoisthook.port.backend_wire import BackendWire
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+
+# The backend server is on the same instance, where a connection takes about a millisecond.
+CONNECT_SECONDS = 0.1
+# Health is answered at once, whatever the load; a later answer is no use to whoever waits.
+ANSWER_SECONDS = 0.05
+# How long a backend server that refuses connections is left alone.
+UNREACHABLE_SECONDS = 0.3
+UNHEALTHY_STATUS = 500
+
+
+class HealthReader:
+    """One read at a time, shared by all that ask meanwhile.
+
+    Parameters
+    ----------
+    address : Address
+        The backend server's.
+    wire : BackendWire
+        Reads its answers.
+    pool : ClientPool
+        Connections to it.
+    belief : BackendBelief
+        Gets what is read.
+    clock : Clock
+        Monotonic.
+    log : EventLog
+        Gets a line for a read that is not answered.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        wire: BackendWire,
+        pool: ClientPool,
+        belief: BackendBelief,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._address = address
+        self._wire = wire
+        self._pool = pool
+        self._belief = belief
+        self._clock = clock
+        self._log = log
+        self._reading: asyncio.Task[None] | None = None
+        self.path: str | None = None
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a read is under way."""
+        return self._reading is not None and not self._reading.done()
+
+    async def read(self) -> None:
+        """Read once, or wait for the read under way."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.get_running_loop().create_task(self._read())
+        await asyncio.shield(self._reading)
+
+    def close(self) -> None:
+        """Stop a read that is under way."""
+        if self._reading is not None:
+            self._reading.cancel()
+
+    async def _read(self) -> None:
+        if self.path is None:
+            return
+        try:
+            connection = await self._pool.acquire(self._address, CONNECT_SECONDS)
+        except UnreachableError:
+            self._belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
+            return
+        answered = await exchange_whole(
+            connection,
+            b"GET",
+            self.path.encode(),
+            [(b"host", format_address(self._address).encode())],
+            b"",
+            timeout=ANSWER_SECONDS,
+        )
+        if isinstance(answered, Lost):
+            self._log.event("health_unanswered", instance=self._belief.instance)
+            return
+        self._pool.keep(self._address, connection)
+        head, _ = answered
+        reading = self._wire.read(head)
+        if head.status >= UNHEALTHY_STATUS:
+            self._belief.refused_health()
+        elif reading.instance is not None:
+            self._belief.answered_as(reading.instance)
+        if reading.load is not None:
+            self._belief.loaded(reading.load, self._clock.now())
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -246,7 +246,7 @@
     def _configured(self, configuration: TrafficConfiguration) -> None:
         traits = configuration.traits_by_service.get(ServiceName(self.settings.node.service))
         if traits is not None:
-            self.link.health_path = traits.health_path
+            self.link.health.path = traits.health_path
         limits = configuration.limits
         if limits is not None:
             self._callers.head_timeout = limits.head_timeout
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -256,7 +256,7 @@
     other = await system.add("shop", data_centre="two")
     system.introduce_all()
     server.backend.slowdown = 400
-    await server.node.link.probe()
+    await server.node.link.health.read()
     status, _, _ = await system.call(entry)
     assert status == 200
     assert (server.backend.runs, len(other.backend.runs)) == ([], 1)
