A second answer in the same segment no longer adds its headers to the first one's

Ruled out: reuse of the connection (it is dropped), an answer passed over wrongly (a trial that noted every answer without its request's id saw none). Change: each message begins a new list; nothing behind a whole answer is handed over; a success without its request's id is not taken, nor a late answer for a health check's.

--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -164,7 +164,10 @@
         self._gone_callbacks.clear()
 
     def on_message_begin(self) -> None:
-        """Note a message that begins behind the whole answer (parser callback)."""
+        """Begin a head; note a message behind the whole answer (parser callback)."""
+        # A new list: the one before may belong to a head that was handed over.
+        self._headers = []
+        self._head_bytes = 0
         if self._whole:
             self._surplus = True
 
@@ -180,8 +183,7 @@
         assert self._parser is not None
         status = self._parser.get_status_code()
         self._interim = 100 <= status < 200
-        if self._interim:
-            self._headers = []
+        if self._interim or self._whole:
             return
         head = AnswerHead(status, self._headers)
         if self._accepts is not None and not self._accepts(head):
@@ -205,7 +207,6 @@
             return
         if self._skipping:
             self._skipping = False
-            self._headers = []
             return
         assert self._parser is not None
         self._end_exchange(keep=self._parser.should_keep_alive())
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -95,6 +95,7 @@
             [(b"host", format_address(self._address).encode())],
             b"",
             timeout=ANSWER_SECONDS,
+            accepts=self._wire.answers_health,
         )
         if isinstance(answered, Lost):
             self._log.event("health_unanswered", instance=self._belief.instance)
--- a/src/hoisthook/port/backend_wire.py
+++ b/src/hoisthook/port/backend_wire.py
@@ -96,5 +96,8 @@
     def answers(self, head: AnswerHead, request_id: RequestId) -> bool:
         """Return whether an answer belongs to that request and to no other."""
 
+    def answers_health(self, head: AnswerHead) -> bool:
+        """Return whether an answer can be that to a health check, and not a late one."""
+
     def read(self, head: AnswerHead) -> AnswerReading:
         """Return what an answer's head says."""
--- a/tests/adapter/http/test_client_connection.py
+++ b/tests/adapter/http/test_client_connection.py
@@ -124,6 +124,17 @@
     assert connection.reusable
 
 
+async def test_answer_behind_the_whole_one_adds_nothing_to_its_head() -> None:
+    second = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nx-other: 1\r\n\r\nno"
+    server = Server([WHOLE + second])
+    connection = await ClientPool().open(await server.start(), 1.0)
+    head = await connection.send(REQUEST)
+    assert head.headers == [(b"content-length", b"2")]
+    assert await connection.body.read() == b"ok"
+    assert not connection.reusable
+    connection.close()
+
+
 async def test_connection_whose_request_was_answered_early_is_not_reused() -> None:
     async def answer_unread(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readline()
--- a/tests/platform/test_wires.py
+++ b/tests/platform/test_wires.py
@@ -131,6 +131,13 @@
     assert wire.answers(AnswerHead(200, [(b"x-request-id", b"1")]), RequestId("1"))
     assert not wire.answers(AnswerHead(200, [(b"x-request-id", b"2")]), RequestId("1"))
     assert wire.answers(AnswerHead(503, []), RequestId("1"))
+    assert not wire.answers(AnswerHead(200, [SIGNED]), RequestId("1"))
+
+
+def test_late_answer_to_a_request_is_not_taken_for_the_health() -> None:
+    wire = PlatformBackendWire()
+    assert wire.answers_health(AnswerHead(200, [(b"x-instance-id", b"i")]))
+    assert not wire.answers_health(AnswerHead(200, [(b"x-request-id", b"1")]))
 
 
 @given(st.binary(max_size=80))
