A node that is told to stop goes on for what no other node can start

Ruled out: slow or lost backend servers (no backend_state, few backend_lost), the store (no store_lost). Change: for the first 1.5 s after the signal a node admits what no other can start (2020 to the rest).

--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -81,6 +81,13 @@
         How it is used.
     log : EventLog
         Gets a line for each refusal and each loss.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether only what no other node can start is admitted.
+    stopping : bool
+        Whether nothing is admitted.
     """
 
     def __init__(
@@ -105,6 +112,7 @@
         self.belief = BackendBelief(log)
         self.health = HealthReader(address, wire, pool, self.belief, clock, log)
         self.gate = PriorityGate(DEFAULT_SLOTS)
+        self.leaving = False
         self.stopping = False
 
     def announced(self, announcement: Announcement) -> None:
@@ -159,6 +167,8 @@
         belief = self.belief
         if self.stopping:
             return Refused(ResultCode.NODE_STOPPING, DRAINING_RETRY_SECONDS)
+        if self.leaving and admission is Admission.DIRECT:
+            return Refused(ResultCode.NODE_LEAVING, MIN_RETRY_AFTER_SECONDS)
         if not belief.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
         if now < belief.closed_until:
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -57,6 +57,9 @@
 RESTART_SECONDS = 0.5
 # How long callers go on sending after readiness is withdrawn: two questions a second apart.
 LINGER_SECONDS = 2.6
+# How much of it passes before nothing more is admitted at the backend server; the rest is ample
+# for other nodes to have noticed before connections close.
+LEAVING_SECONDS = 1.5
 # Left of the grace for what the process does last.
 CLOSE_MARGIN_SECONDS = 0.5
 
@@ -182,7 +185,10 @@
         self._forget_connections()
 
     async def close(self) -> bool:
-        """Leave: no new work at the backend server, then no new callers, then the end.
+        """Leave: work at the backend server that no other can start, then none, then the end.
+
+        While several nodes of a service are replaced in turn, its backend servers would
+        stand idle if each node refused all work from the signal on.
 
         Returns
         -------
@@ -192,9 +198,11 @@
         self._log.event("stopping")
         self.stopping = True
         self._callers.stopping = True
+        self.link.leaving = True
+        await asyncio.sleep(LEAVING_SECONDS)
         self.link.stopping = True
         self.link.gate.refuse_waiting()
-        await asyncio.sleep(LINGER_SECONDS)
+        await asyncio.sleep(LINGER_SECONDS - LEAVING_SECONDS)
         left = self.settings.shutdown.grace_seconds - LINGER_SECONDS - CLOSE_MARGIN_SECONDS
         ended = await asyncio.gather(self._callers.close(left), self._peers.close(left))
         for task in self._tasks:
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -38,6 +38,10 @@
 FAILURE_STATUSES = frozenset({500, 502, 503})
 # Refusals that come from the backend server itself, where the request has arrived.
 _ARRIVED_CODES = frozenset({ResultCode.BACKEND_SERVER_SHED, ResultCode.BACKEND_SERVER_REPLACED})
+# Refusals of a direct start by nodes at which the request may still wait.
+_MAY_QUEUE_CODES = frozenset(
+    {ResultCode.SLOTS_FULL, ResultCode.BACKEND_SERVER_SLOW, ResultCode.NODE_LEAVING}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +195,7 @@
                 if outcome.code is ResultCode.BACKEND_SERVER_SHED:
                     progress.left_out.add(node)
                 return self._take_budget(call, outcome.code.number)
-            if outcome.code not in (ResultCode.SLOTS_FULL, ResultCode.BACKEND_SERVER_SLOW):
+            if outcome.code not in _MAY_QUEUE_CODES:
                 progress.left_out.add(node)
             return outcome.code is not ResultCode.DEADLINE_PASSED
         progress.ran += 1
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -167,6 +167,10 @@
         2019, 503, Ran.NOT_RUN, "No slot became free in time.", "Come back as told."
     )
 
+    NODE_LEAVING = CodeEntry(
+        2020, 503, Ran.NOT_RUN, "The node is about to stop; it may wait there.", "Another is tried."
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -21,6 +21,7 @@
 @pytest.fixture(autouse=True)
 def short_linger(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(mesh_node, "LINGER_SECONDS", 0.2)
+    monkeypatch.setattr(mesh_node, "LEAVING_SECONDS", 0.0)
 
 
 async def shops(system: MeshSystem, count: int, *, safe: bool = True) -> list[Machine]:
@@ -42,7 +43,8 @@
     running = asyncio.create_task(system.call(entry, method=b"POST", request_id="runs"))
     await server.backend.arrived.wait()
     closing = asyncio.create_task(server.node.close())
-    await asyncio.sleep(0)
+    while not server.node.link.stopping:
+        await asyncio.sleep(0)
     assert not server.node.ready
     status, _, _ = await system.call(entry, method=b"POST", request_id="late")
     assert status == 503
@@ -51,6 +53,21 @@
     assert server.backend.runs == ["runs"]
 
 
+async def test_leaving_node_runs_what_no_other_can_start(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(mesh_node, "LEAVING_SECONDS", 0.2)
+    entry, first, second = await shops(system, 2)
+    closing = asyncio.create_task(first.node.close())
+    await asyncio.sleep(0)
+    assert (await system.call(entry))[0] == 200
+    assert first.backend.runs == []
+    assert await second.beat("draining") == 200
+    assert (await system.call(entry))[0] == 200
+    assert len(first.backend.runs) == 1
+    assert await closing
+
+
 async def test_stopping_node_still_serves_its_callers_and_tells_them_to_leave(
     system: MeshSystem,
 ) -> None:
