--- a/standin/soak.py
+++ b/standin/soak.py
@@ -275,6 +275,8 @@
         if place.state != "ready":
             return
         place.state = "draining"
+        # As the platform's pages say: the health check fails while a backend server is leaving.
+        place.backend.healthy = False
         try:
             status = await place.backend.beat(parse_address(place.announcements), state="draining")
         except (UnreachableError, AssertionError):
@@ -285,6 +287,7 @@
             late = [m for m in place.backend.arrival_times if m > acknowledged + DRAIN_SECONDS]
             if late:
                 self.findings.broken.append(f"{place.name}: {len(late)} requests after its drain")
+        place.backend.healthy = True
         place.state = "ready"
 
     async def _change(self) -> None:
@@ -297,6 +300,7 @@
             proxy.link = Link.SOUND
         for place in self.cluster.places:
             place.state = "ready"
+            place.backend.healthy = True
             place.backend.fault = Fault.NONE
             place.backend.work_seconds = 0.005
             place.backend.slowdown = 100
