--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -25,7 +25,7 @@
     from hoisthook.port.clock import Clock
 
 _FRAMING = frozenset({b"content-length"})
-NOTHING_TOLD = 0.0
+NO_RETRY_AFTER = 0.0
 
 
 class HopServer:
@@ -56,11 +56,11 @@
         received = self._clock.now()
         header = HopHeader.decode(exchange.head.get(hop_header.HOP) or b"")
         if header is None:
-            self._answer(exchange, Refused(ResultCode.REQUEST_MALFORMED, NOTHING_TOLD))
+            self._answer(exchange, Refused(ResultCode.REQUEST_MALFORMED, NO_RETRY_AFTER))
             return
         self._sync.heard((exchange.peer[0], self._sync.peer_port), header.configuration)
         if header.service != self._service:
-            self._answer(exchange, Refused(ResultCode.SERVICE_ELSEWHERE, NOTHING_TOLD))
+            self._answer(exchange, Refused(ResultCode.SERVICE_ELSEWHERE, NO_RETRY_AFTER))
             return
         try:
             body = await _read_body(exchange)
