--- a/standin/soak.py
+++ b/standin/soak.py
@@ -356,6 +356,8 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many, counting up")
     parser.add_argument("--seconds", type=float, default=10.0, help="how long faults go on")
     arguments = parser.parse_args()
+    # Ended from outside, it still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         soak = Soak(seed, arguments.seconds)
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -88,11 +88,13 @@
     for machine in (first, second):
         machine.backend.work_seconds = 0.3
     calls = [asyncio.create_task(system.call(entry)) for _ in range(8)]
-    while first.backend.running + second.backend.running < 8:
-        await asyncio.sleep(0.005)
+    async with asyncio.timeout(10.0):
+        while first.backend.running + second.backend.running < 8:
+            await asyncio.sleep(0.005)
     waiting = asyncio.create_task(system.call(entry))
-    while not first.node.link.gate.waiting + second.node.link.gate.waiting:
-        await asyncio.sleep(0.001)
+    async with asyncio.timeout(10.0):
+        while not first.node.link.gate.waiting + second.node.link.gate.waiting:
+            await asyncio.sleep(0.001)
     drained = first if first.node.link.gate.waiting else second
     arrivals = len(drained.backend.arrivals)
     assert await drained.beat("draining") == 200
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -169,8 +169,9 @@
     calling = asyncio.create_task(system.call(entry, deadline_ms=60_000, request_id="gone"))
     await server.backend.arrived.wait()
     calling.cancel()
-    while server.backend.cancelled != ["gone"]:
-        await asyncio.sleep(0.01)
+    async with asyncio.timeout(10.0):
+        while server.backend.cancelled != ["gone"]:
+            await asyncio.sleep(0.01)
     assert server.node.link.gate.running == 0
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,9 +5,17 @@
 from standin.soak import Soak
 
 SHORT_SECONDS = 4.0
+SEEDS = [
+    1,
+    7,  # a log field hid the node's name; one node was asked twice to queue a request
+    100,  # the tool: overlapping faults started one place twice
+    106,  # the tool: a listening port was taken by an outgoing connection
+    211,  # the stand-in's health check passed while it drained
+    333,  # a reload while a node was starting ended it
+]
 
 
-@pytest.mark.parametrize("seed", [1])
+@pytest.mark.parametrize("seed", SEEDS)
 async def test_short_soak_keeps_every_promise(seed: int) -> None:
     findings = await Soak(seed, SHORT_SECONDS).run()
     assert findings.broken == []
