A refusal after a lost try is not told as not run

Cause (found by reading the diff): where a further try was not allowed, the last outcome alone was the answer; a repeatable request that was lost at one backend server and shed by the next got 503. Ruled out: requests that may not be repeated (they end at the first loss). Change: the outcome of all tries decides. Its test failed first (503 instead of 502).

--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.mesh.hop_header import Admission
+from hoisthook.mesh.outcome import WholeAnswer
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
@@ -16,7 +17,6 @@
     from hoisthook.identity import NodeId
     from hoisthook.identity import ServiceName
     from hoisthook.mesh.outcome import Outcome
-    from hoisthook.mesh.outcome import WholeAnswer
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_choice import PeerChoice
     from hoisthook.mesh.peer_directory import PeerDirectory
@@ -154,7 +154,10 @@
             if isinstance(outcome, Refused) and admission is Admission.QUEUE:
                 progress.left_out.add(view.peer.node)
             if not self._goes_on(view, call, outcome, progress):
-                return Dispatched(outcome, progress.tries, progress.ran, progress.node)
+                if isinstance(outcome, WholeAnswer):
+                    return Dispatched(outcome, progress.tries, progress.ran, progress.node)
+                break
+        # Not the last outcome alone: after a try that may have run, a refusal says too much.
         return Dispatched(
             self._conclude(call, progress), progress.tries, progress.ran, progress.node
         )
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -10,6 +10,7 @@
 from hoisthook.identity import parse_address
 from hoisthook.mesh import mesh_node
 from hoisthook.mesh import peer_hop
+from hoisthook.retry.windowed_retry_budget import WindowedRetryBudget
 from standin.mesh_backend import Fault
 from standin.mesh_system import RouteOptions
 
@@ -114,6 +115,25 @@
     assert sum(len(server.backend.runs) for server in servers) == 2
 
 
+async def test_refusal_after_a_lost_try_is_not_called_not_run(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    entry, near, far = await shops(system, 2)
+    near.backend.fault = Fault.RESET
+    far.backend.fault = Fault.RESET
+    granted = iter([True, False])
+
+    def take(_: WindowedRetryBudget, now: float) -> bool:
+        # The first try is lost; whichever is tried next sheds.
+        near.backend.fault = far.backend.fault = Fault.SHED
+        return next(granted)
+
+    monkeypatch.setattr(WindowedRetryBudget, "take", take)
+    status, _, _ = await system.call(entry)
+    assert len(near.backend.arrivals) + len(far.backend.arrivals) == 2
+    assert status == 502
+
+
 async def test_budget_bounds_the_extra_tries_of_a_service_that_fails(system: MeshSystem) -> None:
     entry, *servers = await shops(system, 3)
     for server in servers:
