Extra tries use half of the shared budget, since calls of repeated requests count too

Ruled out: nodes that count too much (each keeps within its share), client retries (new requests). Change: half of ratio and fixed number is used here. The budget's test, made twice as strict, failed first.

--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -33,6 +33,10 @@
 WAIT_SHARE_OF_TARGET = 0.22
 NO_BACKEND_SERVER_RETRY_SECONDS = 0.3
 MIN_RETRY_AFTER_SECONDS = 0.05
+# Share of the budget that tries made here may use. The calls of a request that runs again count
+# as repeats at the services they go to, which these tries do not see: with 1.4 calls a request,
+# as the users' busiest route makes, tries of both services at this share stay within the budget.
+OWN_SHARE_OF_BUDGET = 0.5
 # Below this nothing can be run any more.
 MIN_TIME_LEFT_SECONDS = 0.003
 FAILURE_STATUSES = frozenset({500, 502, 503})
@@ -243,10 +247,11 @@
         return max(0.0, WAIT_SHARE_OF_TARGET * call.target_latency - waited)
 
     def _budget(self, service: ServiceName) -> WindowedRetryBudget:
-        extra = self._settings.extra / max(1, len(self._directory))
+        ratio = OWN_SHARE_OF_BUDGET * self._settings.ratio
+        extra = OWN_SHARE_OF_BUDGET * self._settings.extra / max(1, len(self._directory))
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = WindowedRetryBudget(self._settings.ratio, self._settings.window, extra)
+            budget = WindowedRetryBudget(ratio, self._settings.window, extra)
             self._budget_by_service[service] = budget
         budget.extra = extra
         return budget
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -142,7 +142,8 @@
     for _ in range(calls):
         await system.call(entry)
     retry = entry.node.settings.retry
-    allowed = calls * retry.ratio + retry.extra / len(entry.node.directory)
+    # Half of it: the calls of a repeated request count as repeats where they go.
+    allowed = (calls * retry.ratio + retry.extra / len(entry.node.directory)) / 2
     runs = sum(len(server.backend.runs) for server in servers)
     assert calls < runs <= calls + allowed
     assert any(not line["granted"] for line in system.log.named("extra_try"))
