--- a/standin/soak.py
+++ b/standin/soak.py
@@ -17,8 +17,6 @@
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -26,8 +24,6 @@
 from hoisthook.exceptions import UnreachableError
 from hoisthook.identity import format_address
 from hoisthook.identity import parse_address
-from hoisthook.mesh.whole_exchange import exchange_whole
-from hoisthook.node.call import Lost
 from standin.deployment import Deployment
 from standin.fault_proxy import FaultProxy
 from standin.fault_proxy import Link
@@ -36,6 +32,8 @@
 from standin.mesh_store import Outage
 from standin.mesh_store import split_record
 from standin.mesh_system import RouteOptions
+from standin.soak_load import Findings
+from standin.soak_load import SoakLoad
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -45,23 +43,11 @@
 
 SMALL = Deployment("soak", ("one", "two"), {"shop": 3, "bank": 3}, slots=4)
 NODES_TOPIC = "keyed.nodes"
-PROMISES = frozenset({408, 421, 429, 503})
 FAULT_GAP_SECONDS = 0.4
 # A drain's acknowledgement to the last request that may arrive.
 DRAIN_SECONDS = 2.0
 # From the last fault to normal service, and from a version to its effect.
 RECOVERY_SECONDS = 12.0
-CALL_SECONDS = 1.5
-
-
-@dataclass(slots=True)
-class Findings:
-    """What was sent, what came back, and what breaks a promise."""
-
-    statuses: Counter[int] = field(default_factory=Counter)
-    promised: set[str] = field(default_factory=set)
-    broken: list[str] = field(default_factory=list)
-    faults: Counter[str] = field(default_factory=Counter)
 
 
 class Soak:
@@ -78,21 +64,20 @@
     def __init__(self, seed: int, seconds: float) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._sent = 0
         self._version = 1
         self._proxy_by_peers: dict[str, FaultProxy] = {}
         self._store_proxies: list[FaultProxy] = []
         self._drained_at: dict[str, float] = {}
-        self._faulty = True
         self.findings = Findings()
         self.cluster = MeshCluster(SMALL)
+        self._load = SoakLoad(self.cluster, self._random, self.findings)
 
     async def run(self) -> Findings:
         """Play the seed and return what was found."""
         await self._interpose()
         try:
             await self.cluster.start()
-            await asyncio.gather(self._load(), self._trouble())
+            await asyncio.gather(self._load.run(), self._trouble())
             self._check_runs()
         finally:
             await self.cluster.close()
@@ -129,52 +114,6 @@
             record["address"] = format_address(proxy.address)
         return content[: 1 + len(key)] + msgspec.json.encode(record)
 
-    async def _load(self) -> None:
-        calls: set[asyncio.Task[None]] = set()
-        while self._faulty:
-            call = asyncio.create_task(self._call_somewhere())
-            calls.add(call)
-            call.add_done_callback(calls.discard)
-            await asyncio.sleep(self._random.expovariate(60.0))
-        await asyncio.gather(*calls)
-
-    async def _call_somewhere(self) -> None:
-        place = self._random.choice(self.cluster.places)
-        service = self._random.choice(sorted(SMALL.count_by_service))
-        await self._call(place, service, unsafe=self._random.random() < 0.5)
-
-    async def _call(self, place: MeshPlace, service: str, *, unsafe: bool) -> int:
-        self._sent += 1
-        name = f"q{self._sent}"
-        method, path = (b"POST", "/write/x") if unsafe else (b"GET", "/read/x")
-        headers = [
-            (b"host", f"{service}.example".encode()),
-            (b"x-request-id", name.encode()),
-            (b"x-deadline-ms", b"%d" % int(CALL_SECONDS * 1000)),
-        ]
-        address = parse_address(place.callers)
-        try:
-            connection = await self.cluster.pool.acquire(address, 0.5)
-        except UnreachableError:
-            self.findings.statuses[0] += 1
-            return 0
-        answered = await exchange_whole(
-            connection, method, path.encode(), headers, b"b" * 50, timeout=CALL_SECONDS + 0.5
-        )
-        if isinstance(answered, Lost):
-            self.findings.statuses[0] += 1
-            return 0
-        self.cluster.pool.keep(address, connection)
-        head, body = answered
-        self.findings.statuses[head.status] += 1
-        if head.status == 200 and body != f"body of {name}".encode():
-            self.findings.broken.append(f"{name}: another request's answer, {body!r}")
-        if head.status in PROMISES:
-            self.findings.promised.add(name)
-        if head.status in (400, 404, 413):
-            self.findings.broken.append(f"{name}: a proper request got {head.status}")
-        return head.status
-
     async def _trouble(self) -> None:
         end = time.monotonic() + self._seconds
         kinds: list[Callable[[], Awaitable[None]]] = [
@@ -200,7 +139,7 @@
         await asyncio.gather(*running)
         self._heal()
         await self._check_recovery()
-        self._faulty = False
+        self._load.stopped = True
 
     def _place(self) -> MeshPlace:
         return self._random.choice(self.cluster.places)
@@ -313,27 +252,11 @@
             async with asyncio.timeout(RECOVERY_SECONDS):
                 for place in self.cluster.places:
                     for service in [*SMALL.count_by_service, "new"]:
-                        while not await self._serves(place, service):
+                        while not await self._load.serves(place, service):
                             await asyncio.sleep(0.1)
         except TimeoutError:
             self.findings.broken.append("not all served again in time")
 
-    async def _serves(self, place: MeshPlace, service: str) -> bool:
-        path = b"/read/x"
-        headers = [
-            (b"host", f"{service}.example".encode()),
-            (b"x-request-id", f"check{self._sent}".encode()),
-            (b"x-deadline-ms", b"1000"),
-        ]
-        self._sent += 1
-        try:
-            connection = await self.cluster.pool.acquire(parse_address(place.callers), 0.5)
-        except UnreachableError:
-            return False
-        answered = await exchange_whole(connection, b"GET", path, headers, b"", timeout=1.5)
-        connection.close()
-        return not isinstance(answered, Lost) and answered[0].status == 200
-
     def _check_runs(self) -> None:
         runs = Counter(run for place in self.cluster.places for run in place.backend.runs)
         unsafe = {
