--- a/tests/mesh/test_store_readers.py
+++ b/tests/mesh/test_store_readers.py
@@ -3,6 +3,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
+
+from hoisthook.mesh import configuration_watch
 from standin.mesh_system import RouteOptions
 
 if TYPE_CHECKING:
@@ -10,9 +13,17 @@
     from standin.mesh_system import MeshSystem
 
 NODES = 7
+LONG_SECONDS = 60.0
 READERS = 2
 
 
+@pytest.fixture(autouse=True)
+def long_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep waits for changes from ending by themselves, so that calls can be counted."""
+    monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", LONG_SECONDS)
+
+
 async def one_data_centre(system: MeshSystem) -> tuple[list[Machine], list[Machine]]:
     """Return the readers and the others, all with the first configuration."""
     system.readers_per_data_centre = READERS
