A node says that it admits a request before it runs it; what may not be repeated is held back until then

Cause: a hop that was written counted as sent. A frozen or cut node, or a connection that has gone silent, kept a request until its deadline (504), and a reset before it was read ended as 502; the node was not left alone afterwards. Ruled out: an acknowledgement alone. It bounds the wait, but a request that may not be repeated could still have been read, so it could not go elsewhere. Change: hops carry Expect: 100-continue. The other node asks for the request once it has a slot; silence for 0.2 s beyond the wait ends the try. The body of a request that may not be repeated is sent only then, and its end is what lets it run: before it, "not run" is true (2021 NODE_SILENT), and the next node is asked. A refused try sends no body and keeps its connection. Repeatable requests are sent whole as before, so they gain no round trip.

--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -37,6 +37,8 @@
         Seconds within which a head that has begun must be whole.
     idle_timeout : float
         Seconds after which a connection without a request is closed.
+    continues_at_once : bool
+        Whether a body that is held back is asked for at once; otherwise by the handler.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         *,
         head_timeout: float = HEAD_TIMEOUT_SECONDS,
         idle_timeout: float = IDLE_TIMEOUT_SECONDS,
+        continues_at_once: bool = True,
     ) -> None:
         self._address = address
         self._server: asyncio.Server | None = None
@@ -55,6 +58,7 @@
         self._idle.set()
         self.handler = handler
         self.stopping = False
+        self.continues_at_once = continues_at_once
         self.head_timeout = head_timeout
         self.idle_timeout = idle_timeout
         self.max_head_bytes = MAX_HEAD_BYTES
--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -39,6 +39,7 @@
         self._skipping = False
         self._ends_with_connection = False
         self._interim = False
+        self._go_ahead: asyncio.Future[bool] | None = None
         self._whole = False
         self._surplus = False
         self.body = BodyStream(self)
@@ -102,12 +103,28 @@
         self.exchanges += 1
         self.body = BodyStream(self)
         self._head_waiter = asyncio.get_running_loop().create_future()
+        self._go_ahead = None
         if self.closed:
             self._fail("connection closed before the request")
         else:
             self._transport.write(data)
         return self._head_waiter
 
+    def go_ahead(self) -> asyncio.Future[bool]:
+        """Return whether the other side asks for the rest of the request, once that is known.
+
+        It does so by an interim answer; False if the answer or the end comes first.
+        """
+        self._go_ahead = asyncio.get_running_loop().create_future()
+        if self.closed:
+            self._go_ahead.set_result(False)
+        return self._go_ahead
+
+    def send_more(self, data: bytes) -> None:
+        """Send a further piece of the request of the exchange under way."""
+        if not self.closed and self._transport is not None:
+            self._transport.write(data)
+
     def close(self) -> None:
         """Drop the connection; an unfinished exchange is cancelled by it.
 
@@ -183,6 +200,8 @@
         assert self._parser is not None
         status = self._parser.get_status_code()
         self._interim = 100 <= status < 200
+        if self._interim:
+            self._settle_go_ahead(asked=True)
         if self._interim or self._whole:
             return
         head = AnswerHead(status, self._headers)
@@ -190,6 +209,7 @@
             self._skipping = True
             return
         self._ends_with_connection = not self._bodyless and not head.is_framed
+        self._settle_go_ahead(asked=False)
         waiter = self._head_waiter
         if waiter is not None and not waiter.done():
             waiter.set_result(head)
@@ -224,7 +244,12 @@
         self._fail(reason)
         self.release_writer()
 
+    def _settle_go_ahead(self, *, asked: bool) -> None:
+        if self._go_ahead is not None and not self._go_ahead.done():
+            self._go_ahead.set_result(asked)
+
     def _fail(self, reason: str) -> None:
+        self._settle_go_ahead(asked=False)
         waiter = self._head_waiter
         if waiter is not None and not waiter.done():
             waiter.set_exception(BrokenExchangeError(reason))
--- a/src/hoisthook/adapter/http/message.py
+++ b/src/hoisthook/adapter/http/message.py
@@ -99,3 +99,4 @@
 
 
 LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -31,6 +31,7 @@
 
     handler: Handler
     stopping: bool
+    continues_at_once: bool
     head_timeout: float
     idle_timeout: float
     max_head_bytes: int
@@ -137,8 +138,10 @@
         self._disarm_timer()
         head = RequestHead(self._parser.get_method(), self._target, self._headers)
         exchange = ServerExchange(self, head, BodyStream(self), self._parser.should_keep_alive())
-        if self._expects_continue and self._transport is not None:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self._expects_continue:
+            exchange.expects_go_ahead = True
+            if self._owner.continues_at_once:
+                exchange.go_ahead()
         self._incoming = exchange
         self._queue.append(exchange)
         if len(self._queue) == 1:
@@ -176,7 +179,8 @@
         """Go on to the next request, or close."""
         if self._queue and self._queue[0] is exchange:
             self._queue.popleft()
-        body_open = not exchange.body.complete
+        # A body that was held back ends without having been sent, see `ServerExchange`.
+        body_open = not exchange.body.complete and not exchange.expects_go_ahead
         if not keep or body_open or self._owner.stopping:
             if self._transport is not None:
                 self._transport.close()
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.message import CONTINUE
 from hoisthook.adapter.http.message import LAST_CHUNK
 from hoisthook.adapter.http.message import Header
 from hoisthook.adapter.http.message import encode_answer_head
@@ -28,6 +29,9 @@
         The request's body.
     cancel_on_disconnect : bool
         Whether the handler is cancelled when the caller goes away.
+    expects_go_ahead : bool
+        Whether the caller holds its body back until it is told to go ahead. If it is
+        answered before, it ends the body where it is and keeps the connection.
     """
 
     __slots__ = (
@@ -37,6 +41,7 @@
         "body",
         "cancel_on_disconnect",
         "ended",
+        "expects_go_ahead",
         "head",
         "started",
         "task",
@@ -51,6 +56,7 @@
         self.head = head
         self.body = body
         self.cancel_on_disconnect = True
+        self.expects_go_ahead = False
         self.started = False
         self.ended = False
         self.task: asyncio.Task[None] | None = None
@@ -65,13 +71,20 @@
         """Return whether the other side has dropped the connection."""
         return self._connection.lost
 
+    def go_ahead(self) -> None:
+        """Ask for a body that is held back; said once, and nothing if none is."""
+        if self.expects_go_ahead:
+            self.expects_go_ahead = False
+            self._connection.write(CONTINUE)
+
     def begin(self, status: int, headers: list[Header], *, chunked: bool) -> bytes:
         """Start the answer; return its head for the first `write`."""
         self.started = True
         self._chunked = chunked
         if chunked:
             headers.append((b"transfer-encoding", b"chunked"))
-        if self._connection.stopping or not self._keep_alive or not self.body.complete:
+        body_open = not self.body.complete and not self.expects_go_ahead
+        if self._connection.stopping or not self._keep_alive or body_open:
             self._keep_alive = False
             headers.append((b"connection", b"close"))
         return encode_answer_head(status, headers)
--- /dev/null
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -0,0 +1,109 @@
+"""One request to another node, which says that it admits it before it runs it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.adapter.http.message import LAST_CHUNK
+from hoisthook.adapter.http.message import encode_chunk
+from hoisthook.adapter.http.message import encode_request_head
+from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.mesh.whole_exchange import BODYLESS_METHODS
+from hoisthook.mesh.whole_exchange import read_whole
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.mesh.routed_call import RoutedCall
+
+# A node decides within milliseconds, or within the 50 ms of a health check; on a machine whose
+# processor share is used up it stands still for a tenth of a second at most.
+ADMISSION_SECONDS = 0.2
+SILENT_RETRY_SECONDS = 0.05
+
+
+class AdmittedExchange:
+    """Sends a request and waits to hear that it is admitted, then for its answer.
+
+    The body of a request that may not be repeated is held back until the other node asks
+    for it, and its end is what lets that node run it. So a node that is silent, or whose
+    connection breaks before it has asked, has not run the request and never will.
+
+    Parameters
+    ----------
+    connection : ClientConnection
+        Idle; closed unless the answer was whole.
+    call : RoutedCall
+        What to run.
+    hop : Header
+        What the other node must know besides.
+    """
+
+    def __init__(
+        self, connection: ClientConnection, call: RoutedCall, hop: tuple[bytes, bytes]
+    ) -> None:
+        self._connection = connection
+        self._call = call
+        self._hop = hop
+        self._admitted = False
+
+    async def run(
+        self, *, max_wait: float, timeout: float
+    ) -> tuple[AnswerHead, bytes] | Refused | Lost:
+        """Return the answer, or what is known of a request without one.
+
+        Parameters
+        ----------
+        max_wait : float
+            Seconds that the request may wait there for a slot.
+        timeout : float
+            Seconds until the answer is of no use.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._exchange(max_wait + ADMISSION_SECONDS)
+        except TimeoutError:
+            self._connection.close()
+            return self._lost(ResultCode.DEADLINE_DURING_RUN)
+        except BrokenExchangeError:
+            self._connection.close()
+            return self._lost(ResultCode.ANSWER_LOST)
+        except asyncio.CancelledError:
+            self._connection.close()
+            raise
+
+    async def _exchange(self, admission_timeout: float) -> tuple[AnswerHead, bytes]:
+        connection = self._connection
+        call = self._call
+        answer = connection.send(self._first_bytes(), bodyless_answer=call.method == b"HEAD")
+        async with asyncio.timeout(admission_timeout):
+            self._admitted = await connection.go_ahead()
+        if not call.repeatable:
+            connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
+        head = await answer
+        return head, await read_whole(connection)
+
+    def _first_bytes(self) -> bytes:
+        call = self._call
+        headers = [*call.headers, self._hop, (b"expect", b"100-continue")]
+        if not call.repeatable:
+            headers.append((b"transfer-encoding", b"chunked"))
+            return encode_request_head(call.method, call.target, headers)
+        if call.body or call.method not in BODYLESS_METHODS:
+            headers.append((b"content-length", b"%d" % len(call.body)))
+        return encode_request_head(call.method, call.target, headers) + call.body
+
+    def _rest(self) -> bytes:
+        body = self._call.body
+        return encode_chunk(body) + LAST_CHUNK if body else LAST_CHUNK
+
+    def _lost(self, code: ResultCode) -> Refused | Lost:
+        if self._admitted:
+            return Lost(code)
+        if self._call.repeatable:
+            return Lost(ResultCode.ANSWER_LOST)
+        return Refused(ResultCode.NODE_SILENT, SILENT_RETRY_SECONDS)
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -24,6 +24,9 @@
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.message import AnswerHead
@@ -135,7 +138,14 @@
             failing=self.belief.failing,
         )
 
-    async def run(self, call: RoutedCall, admission: Admission, max_wait: float) -> Outcome:
+    async def run(
+        self,
+        call: RoutedCall,
+        admission: Admission,
+        max_wait: float,
+        *,
+        admitted: Callable[[], Awaitable[None]] | None = None,
+    ) -> Outcome:
         """Run a request.
 
         Parameters
@@ -146,6 +156,8 @@
             Whether it may wait and run slowly.
         max_wait : float
             Seconds to wait for a slot at most.
+        admitted : callable, optional
+            Awaited once the request has a slot and before it is sent; completes its body.
         """
         await self._refresh_load(admission)
         refused = self._refuse(call, admission, max_wait)
@@ -153,7 +165,7 @@
             wait = max_wait if admission is Admission.QUEUE else 0.0
             due = call.received + call.target_latency
             if await self.gate.enter(call.priority, wait, due=due):
-                return await self._run_admitted(call)
+                return await self._run_admitted(call, admitted)
             refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
         self._log_refusal(call, admission, refused)
         return refused
@@ -189,8 +201,12 @@
             return Refused(ResultCode.BACKEND_SERVER_SLOW, LOAD_MAX_AGE_SECONDS)
         return None
 
-    async def _run_admitted(self, call: RoutedCall) -> Outcome:
+    async def _run_admitted(
+        self, call: RoutedCall, admitted: Callable[[], Awaitable[None]] | None
+    ) -> Outcome:
         try:
+            if admitted is not None:
+                await admitted()
             connection = await self._connect(call)
             if isinstance(connection, Refused):
                 return connection
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -23,9 +24,12 @@
     from hoisthook.mesh.outcome import Outcome
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
 
 _FRAMING = frozenset({b"content-length"})
 NO_RETRY_AFTER = 0.0
+# A body whose sender stands still holds a slot; a lost packet is sent again within this.
+PIECE_SECONDS = 0.5
 
 
 class HopServer:
@@ -41,18 +45,34 @@
         Told of the configuration that the sender has.
     clock : Clock
         Monotonic, the loop's own.
+    log : EventLog
+        Gets a line for a request whose body did not arrive.
     """
 
     def __init__(
-        self, service: ServiceName, beside: BackendLink, sync: PeerSync, clock: Clock
+        self,
+        service: ServiceName,
+        beside: BackendLink,
+        sync: PeerSync,
+        clock: Clock,
+        log: EventLog,
     ) -> None:
         self._service = service
         self._beside = beside
         self._sync = sync
         self._clock = clock
+        self._log = log
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Serve one request of another node."""
+        try:
+            await self._serve(exchange)
+        except (BrokenExchangeError, TimeoutError) as error:
+            # The request has not run; the sender knows by the end of the connection.
+            self._log.decision("hop_cut", peer=exchange.peer[0], reason=repr(error))
+            exchange.abort()
+
+    async def _serve(self, exchange: ServerExchange) -> None:
         received = self._clock.now()
         header = HopHeader.decode(exchange.head.get(hop_header.HOP) or b"")
         if header is None:
@@ -62,13 +82,18 @@
         if header.service != self._service:
             self._answer(exchange, Refused(ResultCode.SERVICE_ELSEWHERE, NO_RETRY_AFTER))
             return
-        try:
-            body = await _read_body(exchange)
-        except BrokenExchangeError:
-            exchange.abort()
-            return
-        call = _call(exchange, header, body, received)
-        self._answer(exchange, await self._beside.run(call, header.admission, header.max_wait))
+        call = _call(exchange, header, received)
+        held_back = exchange.head.get(b"transfer-encoding") is not None
+        if not held_back:
+            call.body = await _read_body(exchange)
+
+        async def admitted() -> None:
+            exchange.go_ahead()
+            if held_back:
+                call.body = await _read_body(exchange)
+
+        outcome = await self._beside.run(call, header.admission, header.max_wait, admitted=admitted)
+        self._answer(exchange, outcome)
 
     def _answer(self, exchange: ServerExchange, outcome: Outcome) -> None:
         told = dataclasses.replace(self._beside.load(), configuration=self._sync.version)
@@ -87,12 +112,15 @@
 
 async def _read_body(exchange: ServerExchange) -> bytes:
     data = b""
-    while chunk := await exchange.body.read():
+    while True:
+        async with asyncio.timeout(PIECE_SECONDS):
+            chunk = await exchange.body.read()
+        if not chunk:
+            return data
         data += chunk
-    return data
 
 
-def _call(exchange: ServerExchange, header: HopHeader, body: bytes, received: float) -> RoutedCall:
+def _call(exchange: ServerExchange, header: HopHeader, received: float) -> RoutedCall:
     headers = [
         (name, value)
         for name, value in end_to_end(exchange.head.headers)
@@ -106,7 +134,7 @@
         method=exchange.head.method,
         target=exchange.head.target,
         headers=headers,
-        body=body,
+        body=b"",
         received=received,
         deadline=received + header.time_left,
         target_latency=header.target_left,
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -141,9 +141,11 @@
             log=log,
         )
         self._entry = self._make_entry(service, caller_wire)
-        self._hop_server = HopServer(service, self.link, self.sync, clock)
+        self._hop_server = HopServer(service, self.link, self.sync, clock, log)
         self._callers = CallServer(parse_address(settings.listen.callers), self._entry.handle)
-        self._peers = CallServer(parse_address(settings.listen.peers), self._serve_peer)
+        self._peers = CallServer(
+            parse_address(settings.listen.peers), self._serve_peer, continues_at_once=False
+        )
 
     @property
     def callers_address(self) -> Address:
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -7,10 +7,10 @@
 from hoisthook.adapter.http.message import end_to_end
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh import hop_header
+from hoisthook.mesh.admitted_exchange import AdmittedExchange
 from hoisthook.mesh.beside_load import BesideLoad
 from hoisthook.mesh.hop_header import HopHeader
 from hoisthook.mesh.outcome import WholeAnswer
-from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.result_code import BY_NUMBER
@@ -116,15 +116,9 @@
             max_wait=max_wait,
             configuration=self._sync.version,
         )
-        answered = await exchange_whole(
-            connection,
-            call.method,
-            call.target,
-            [*call.headers, (hop_header.HOP, header.encode())],
-            call.body,
-            timeout=call.time_left(now),
-        )
-        if isinstance(answered, Lost):
+        exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
+        answered = await exchange.run(max_wait=max_wait, timeout=call.time_left(now))
+        if isinstance(answered, Lost | Refused):
             self._note_lost(view, call, answered)
             return answered
         self._pool.keep(view.address, connection)
@@ -144,12 +138,18 @@
             )
             return Refused(ResultCode.UNREACHABLE, seconds)
 
-    def _note_lost(self, view: PeerView, call: RoutedCall, lost: Lost) -> None:
-        if lost.code is ResultCode.ANSWER_LOST:
+    def _note_lost(self, view: PeerView, call: RoutedCall, lost: Lost | Refused) -> None:
+        if lost.code is not ResultCode.DEADLINE_DURING_RUN:
             view.unreachable(self._clock.now())
-        self._log.decision(
-            "hop_lost", request=call.request_id, peer=view.peer.node, code=lost.code.number
-        )
+        peer = view.peer.node
+        if isinstance(lost, Lost):
+            self._log.decision(
+                "hop_lost", request=call.request_id, peer=peer, code=lost.code.number
+            )
+        else:
+            self._log.decision(
+                "hop_silent", request=call.request_id, peer=peer, code=lost.code.number
+            )
 
     def _read(self, view: PeerView, head: AnswerHead, body: bytes) -> Outcome:
         load = BesideLoad.decode(head.get(hop_header.LOAD) or b"")
--- a/src/hoisthook/mesh/whole_exchange.py
+++ b/src/hoisthook/mesh/whole_exchange.py
@@ -58,7 +58,7 @@
     try:
         async with asyncio.timeout(timeout):
             head = await connection.send(data, bodyless_answer=method == b"HEAD", accepts=accepts)
-            return head, await _read_whole(connection)
+            return head, await read_whole(connection)
     except TimeoutError:
         connection.close()
         return Lost(ResultCode.DEADLINE_DURING_RUN)
@@ -70,7 +70,14 @@
         raise
 
 
-async def _read_whole(connection: ClientConnection) -> bytes:
+async def read_whole(connection: ClientConnection) -> bytes:
+    """Return the rest of an answer's body.
+
+    Raises
+    ------
+    BrokenExchangeError
+        If it ends early or is larger than what is held.
+    """
     body = connection.body
     data = body.take_buffered()
     while not body.complete or body.buffered:
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -171,6 +171,14 @@
         2020, 503, Ran.NOT_RUN, "The node is about to stop; it may wait there.", "Another is tried."
     )
 
+    NODE_SILENT = CodeEntry(
+        2021,
+        503,
+        Ran.NOT_RUN,
+        "The node did not ask for the request in time, so it will not run it.",
+        "Another is tried.",
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
--- /dev/null
+++ b/tests/mesh/test_admission.py
@@ -0,0 +1,194 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hoisthook.identity import DataCentre
+from hoisthook.identity import NodeId
+from hoisthook.identity import ServiceName
+from hoisthook.mesh.peer import Peer
+from standin.mesh_system import HOST
+from standin.mesh_system import RouteOptions
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from standin.mesh_system import Machine
+    from standin.mesh_system import MeshSystem
+
+BODY = b"amount=5&" * 100
+
+
+class OddPeer:
+    """A node that reads what it is sent and does as it is told with it.
+
+    Attributes
+    ----------
+    received : bytearray
+        All that was sent to it.
+    connections : int
+        How many were opened.
+    """
+
+    def __init__(self, *, answer: bytes = b"", drops: bool = False) -> None:
+        self.received = bytearray()
+        self.connections = 0
+        self._answer = answer
+        self._drops = drops
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen; return the address."""
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Take no more connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        while data := await reader.read(65536):
+            self.received += data
+            if self._drops and b"\r\n\r\n" in self.received:
+                writer.transport.abort()
+                return
+            if self._answer and data.startswith(b"POST"):
+                writer.write(self._answer)
+        writer.close()
+
+
+@pytest.fixture
+async def odd_peers() -> AsyncIterator[list[OddPeer]]:
+    peers: list[OddPeer] = []
+    yield peers
+    for peer in peers:
+        peer.close()
+
+
+async def entry_with(
+    system: MeshSystem, peers: list[OddPeer], odd: OddPeer, *, safe: bool
+) -> tuple[Machine, Machine]:
+    """Return an entry whose nearest node of the service is ``odd``, and a sound node far away."""
+    peers.append(odd)
+    entry = await system.add("front")
+    sound = await system.add("shop", data_centre="two")
+    system.introduce_all()
+    me = Peer(NodeId("odd"), await odd.start(), ServiceName("shop"), DataCentre("one"))
+    entry.node.directory.merge([me], "test")
+    system.publish(1, RouteOptions("shop", safe=safe))
+    await system.until_configured(1)
+    return entry, sound
+
+
+async def test_request_that_may_not_be_repeated_leaves_a_silent_node_for_another(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    odd = OddPeer()
+    entry, sound = await entry_with(system, odd_peers, odd, safe=False)
+    status, _, body = await system.call(entry, method=b"POST", body=BODY, request_id="once")
+    assert (status, body) == (200, b"body of once")
+    assert [run.body for run in sound.backend.arrivals] == [BODY]
+    assert odd.received
+    assert BODY not in odd.received
+
+
+async def test_request_that_may_not_be_repeated_leaves_a_node_that_drops_it_unread(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    odd = OddPeer(drops=True)
+    entry, sound = await entry_with(system, odd_peers, odd, safe=False)
+    status, _, _ = await system.call(entry, method=b"POST", body=BODY)
+    assert status == 200
+    assert len(sound.backend.arrivals) == 1
+
+
+async def test_request_without_a_body_is_held_back_too(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    odd = OddPeer()
+    entry, sound = await entry_with(system, odd_peers, odd, safe=False)
+    status, _, _ = await system.call(entry, method=b"DELETE")
+    assert status == 200
+    assert len(sound.backend.arrivals) == 1
+    assert not odd.received.endswith(b"0\r\n\r\n")
+
+
+async def test_repeatable_request_leaves_a_silent_node_for_another(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    odd = OddPeer()
+    entry, sound = await entry_with(system, odd_peers, odd, safe=True)
+    status, _, _ = await system.call(entry)
+    assert status == 200
+    assert len(sound.backend.arrivals) == 1
+
+
+async def test_silent_node_is_left_alone_after_the_first_request(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    odd = OddPeer()
+    entry, _ = await entry_with(system, odd_peers, odd, safe=False)
+    for _ in range(5):
+        assert (await system.call(entry, method=b"POST", body=BODY))[0] == 200
+    assert odd.connections == 1
+
+
+async def test_refused_request_keeps_its_connection_and_sends_no_body(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    refusal = (
+        b"HTTP/1.1 503 Full\r\nhoisthook-load: 4 0 4 100 0 2\r\nhoisthook-result: 2006\r\n"
+        b"hoisthook-retry-after-ms: 1\r\ncontent-length: 0\r\n\r\n"
+    )
+    odd = OddPeer(answer=refusal)
+    entry, _ = await entry_with(system, odd_peers, odd, safe=False)
+    for _ in range(3):
+        assert (await system.call(entry, method=b"POST", body=BODY))[0] == 200
+        await asyncio.sleep(0.1)
+    assert odd.received.count(b"POST ") > 1
+    assert odd.received.count(b"POST ") == odd.received.count(b"0\r\n\r\n")
+    assert BODY not in odd.received
+    assert odd.connections == 1
+
+
+async def test_node_does_not_run_a_request_whose_sender_has_left(system: MeshSystem) -> None:
+    entry = await system.add("front")
+    server = await system.add("shop")
+    reader, writer = await asyncio.open_connection(*server.node.peers_address)
+    writer.write(
+        b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
+        b"transfer-encoding: chunked\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 0\r\n\r\n"
+    )
+    assert (await reader.readline()).split()[1] == b"100"
+    writer.transport.abort()
+    while server.node.link.gate.running:
+        await asyncio.sleep(0.005)
+    assert server.backend.arrivals == []
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    assert (await system.call(entry))[0] == 200
+
+
+async def test_body_that_stands_still_gives_its_slot_back(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hoisthook.mesh.hop_server.PIECE_SECONDS", 0.01)
+    server = await system.add("shop")
+    reader, writer = await asyncio.open_connection(*server.node.peers_address)
+    writer.write(
+        b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
+        b"transfer-encoding: chunked\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 0\r\n\r\n"
+    )
+    assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert await reader.read() == b""
+    assert server.node.link.gate.running == 0
+    assert server.backend.arrivals == []
+    writer.close()
