Silence of a node is borne for half of what is left of the target at most

Ruled out: holding repeatable requests back too, which would cost each of them a round trip. Change: the wait for an admission is the least of 0.2 s and half of the target that is left, at least 60 ms. Test: test_silence_leaves_time_for_another_node_within_the_target failed before.

--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -23,6 +23,11 @@
 # A node decides within milliseconds, or within the 50 ms of a health check; on a machine whose
 # processor share is used up it stands still for a tenth of a second at most.
 ADMISSION_SECONDS = 0.2
+# A request with little time is not kept for so long: another node can still serve it within its
+# target if the first is given up after this share of what is left of it.
+ADMISSION_SHARE_OF_TARGET = 0.5
+# Below this a loss is more likely than not a busy node.
+MIN_ADMISSION_SECONDS = 0.06
 SILENT_RETRY_SECONDS = 0.05
 
 
@@ -52,7 +57,7 @@
         self._admitted = False
 
     async def run(
-        self, *, max_wait: float, timeout: float
+        self, *, max_wait: float, target_left: float, timeout: float
     ) -> tuple[AnswerHead, bytes] | Refused | Lost:
         """Return the answer, or what is known of a request without one.
 
@@ -60,12 +65,15 @@
         ----------
         max_wait : float
             Seconds that the request may wait there for a slot.
+        target_left : float
+            Seconds until its target latency is over.
         timeout : float
             Seconds until the answer is of no use.
         """
+        wanted = max(MIN_ADMISSION_SECONDS, ADMISSION_SHARE_OF_TARGET * target_left)
         try:
             async with asyncio.timeout(timeout):
-                return await self._exchange(max_wait + ADMISSION_SECONDS)
+                return await self._exchange(max_wait + min(ADMISSION_SECONDS, wanted))
         except TimeoutError:
             self._connection.close()
             return self._lost(ResultCode.DEADLINE_DURING_RUN)
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -117,7 +117,9 @@
             configuration=self._sync.version,
         )
         exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
-        answered = await exchange.run(max_wait=max_wait, timeout=call.time_left(now))
+        answered = await exchange.run(
+            max_wait=max_wait, target_left=header.target_left, timeout=header.time_left
+        )
         if isinstance(answered, Lost | Refused):
             self._note_lost(view, call, answered)
             return answered
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -128,6 +128,19 @@
     assert len(sound.backend.arrivals) == 1
 
 
+async def test_silence_leaves_time_for_another_node_within_the_target(
+    system: MeshSystem, odd_peers: list[OddPeer], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hoisthook.mesh.admitted_exchange.ADMISSION_SECONDS", 5.0)
+    odd = OddPeer()
+    entry, sound = await entry_with(system, odd_peers, odd, safe=True)
+    system.publish(2, RouteOptions("shop", target=0.8, timeout=20.0))
+    await system.until_configured(2)
+    status, _, _ = await system.call(entry, deadline_ms=20000)
+    assert status == 200
+    assert len(sound.backend.arrivals) == 1
+
+
 async def test_silent_node_is_left_alone_after_the_first_request(
     system: MeshSystem, odd_peers: list[OddPeer]
 ) -> None:
