A backend server that drops what it is sent is left alone; a stopping node admits for 2.2 s

Ruled out: closing after any losses in a row, since a server that loses a part of its answers after running them would be closed too. Change: three drops in a row on fresh connections, each within a tenth of the usual work time, leave it alone for 0.15 s, doubled up to 0.6 s; refusals are true meanwhile. A drop of a reused connection forgets the idle ones and is not counted. A stopping node admits what no other can start for 2.2 s in place of 1.5; connections close 0.7 s later, as before at 2.9 s.

--- a/src/hoisthook/adapter/http/client_pool.py
+++ b/src/hoisthook/adapter/http/client_pool.py
@@ -93,6 +93,11 @@
         connection.idle_since = asyncio.get_running_loop().time()
         idle.append(connection)
 
+    def forget(self, address: Address) -> None:
+        """Drop the idle connections to one address."""
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
     def drop_idle(self) -> None:
         """Drop connections idle for too long."""
         now = asyncio.get_running_loop().time()
--- a/src/hoisthook/mesh/backend_belief.py
+++ b/src/hoisthook/mesh/backend_belief.py
@@ -19,6 +19,13 @@
 RECENT_ANSWERS = 12
 # Below this many answers the failing share is not judged.
 MIN_JUDGED_ANSWERS = 4
+# Requests dropped in a row, each as soon as it was sent, after which nothing works there. One or
+# two may fall to a connection that was idle or to a moment in which the server was full.
+MAX_DROPPED_IN_A_ROW = 3
+# How long it is left alone then, doubled up to the most while the first request after it is
+# dropped too: a server that restarts is back within a second or so.
+FIRST_DROPPED_SECONDS = 0.15
+MAX_DROPPED_SECONDS = 0.6
 
 
 class BackendState(Enum):
@@ -69,6 +76,8 @@
         self._former: deque[InstanceId] = deque(maxlen=MAX_FORMER)
         self._sequence = -1
         self._failed: deque[bool] = deque(maxlen=RECENT_ANSWERS)
+        self._dropped_in_a_row = 0
+        self._dropped_seconds = FIRST_DROPPED_SECONDS
         self.state = BackendState.UNKNOWN
         self.instance: InstanceId | None = None
         self.slots = 0
@@ -130,8 +139,24 @@
             self.slots = load.slots
 
     def answered(self, *, failed: bool) -> None:
-        """Note the outcome of one request."""
+        """Note the outcome of one request that it worked on."""
         self._failed.append(failed)
+        self._dropped_in_a_row = 0
+        self._dropped_seconds = FIRST_DROPPED_SECONDS
+
+    def dropped(self, now: float) -> None:
+        """Note a request whose connection was dropped as soon as it was sent.
+
+        After a few in a row it is left alone, so that requests are refused as not run
+        rather than lost one after the other.
+        """
+        self._failed.append(True)
+        if now < self.closed_until:
+            return
+        self._dropped_in_a_row += 1
+        if self._dropped_in_a_row >= MAX_DROPPED_IN_A_ROW:
+            self.unreachable(now, self._dropped_seconds)
+            self._dropped_seconds = min(MAX_DROPPED_SECONDS, 2.0 * self._dropped_seconds)
 
     def unreachable(self, now: float, seconds: float) -> None:
         """Note that no connection could be opened; leave it alone for a while."""
@@ -145,6 +170,8 @@
         self.instance = instance
         self._sequence = -1
         self._failed.clear()
+        self._dropped_in_a_row = 0
+        self._dropped_seconds = FIRST_DROPPED_SECONDS
         self.closed_until = -math.inf
         self._log.event("backend_instance", instance=instance, before=before, how=how)
 
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -49,6 +49,8 @@
 # Assumed until the first load report or announcement.
 DEFAULT_SLOTS = 4
 FAILURE_STATUS = 500
+# A request whose connection drops within this share of its usual work time was not worked on.
+DROPPED_SHARE_OF_WORK = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -226,6 +228,7 @@
 
     async def _exchange(self, call: RoutedCall, connection: ClientConnection) -> Outcome:
         started = self._clock.now()
+        reused = connection.exchanges > 0
         slowdown = self.belief.slowdown
         instance = self.belief.instance
         time_left = call.time_left(started)
@@ -246,14 +249,7 @@
         )
         took = self._clock.now() - started
         if isinstance(answered, Lost):
-            if answered.code is not ResultCode.DEADLINE_DURING_RUN:
-                self.belief.answered(failed=True)
-            self._log.decision(
-                "backend_lost",
-                request=call.request_id,
-                code=answered.code.number,
-                instance=instance,
-            )
+            self._note_lost(call, answered, took, reused=reused)
             return answered
         self._pool.keep(self._address, connection)
         head, body = answered
@@ -262,6 +258,27 @@
             self._work.learn(call, took, slowdown)
         return outcome
 
+    def _note_lost(self, call: RoutedCall, lost: Lost, took: float, *, reused: bool) -> None:
+        at_once = took < DROPPED_SHARE_OF_WORK * self._work.usual(call)
+        if lost.code is not ResultCode.DEADLINE_DURING_RUN:
+            self._note_broken(at_once=at_once, reused=reused)
+        self._log.decision(
+            "backend_lost",
+            request=call.request_id,
+            code=lost.code.number,
+            instance=self.belief.instance,
+            took_ms=round(took * 1000.0, 1),
+        )
+
+    def _note_broken(self, *, at_once: bool, reused: bool) -> None:
+        if not at_once:
+            self.belief.answered(failed=True)
+        elif reused:
+            # It has let go of this idle connection, and so perhaps of the others.
+            self._pool.forget(self._address)
+        else:
+            self.belief.dropped(self._clock.now())
+
     def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
         reading = self._wire.read(head)
         if reading.load is not None:
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -57,9 +57,9 @@
 RESTART_SECONDS = 0.5
 # How long callers go on sending after readiness is withdrawn: two questions a second apart.
 LINGER_SECONDS = 2.6
-# How much of it passes before nothing more is admitted at the backend server; the rest is ample
-# for other nodes to have noticed before connections close.
-LEAVING_SECONDS = 1.5
+# How much of it passes before nothing more is admitted at the backend server. Other nodes notice
+# with the next request that they send here, and connections close 0.7 s later.
+LEAVING_SECONDS = 2.2
 # Left of the grace for what the process does last.
 CLOSE_MARGIN_SECONDS = 0.5
 
