--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -121,6 +121,7 @@
             self.directory, self.configuration, decode, self._peer_pool, self._randomness, log
         )
         self._registration = Registration(
+            settings.store.nodes_topic,
             self.directory,
             store,
             self.sync,
--- a/src/hoisthook/mesh/registration.py
+++ b/src/hoisthook/mesh/registration.py
@@ -24,8 +24,6 @@
     from hoisthook.port.record_store import RecordPage
     from hoisthook.port.record_store import RecordStore
 
-# Named so that the store keeps the newest record of each key.
-TOPIC = "keyed.nodes"
 # When all nodes start at once, each reads after the others have registered: they start within
 # 0.3 s of each other, and a start takes up to a second on a slow core.
 EARLY_READ_SECONDS = 1.6
@@ -48,6 +46,8 @@
 
     Parameters
     ----------
+    topic : str
+        Where the nodes' records are; the newest of each key is kept there.
     directory : PeerDirectory
         Gets the records.
     store : RecordStore
@@ -66,6 +66,7 @@
 
     def __init__(
         self,
+        topic: str,
         directory: PeerDirectory,
         store: RecordStore,
         sync: PeerSync,
@@ -75,6 +76,7 @@
         *,
         first_start: bool,
     ) -> None:
+        self._topic = topic
         self._directory = directory
         self._store = store
         self._sync = sync
@@ -128,11 +130,11 @@
 
     async def _put(self) -> None:
         me = self._directory.me
-        await self._store.put(TOPIC, KeyedRecord(me.node, msgspec.json.encode(me)))
+        await self._store.put(self._topic, KeyedRecord(me.node, msgspec.json.encode(me)))
         self._log.event("registered", known=len(self._directory) - 1)
 
     async def _read(self) -> list[Peer]:
-        page = await self._store.newest(TOPIC)
+        page = await self._store.newest(self._topic)
         peers = list(self._peers(page))
         self._directory.merge(peers, "store")
         return peers
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -76,6 +76,8 @@
         Topic in which operators publish.
     configuration_key : str
         Key under which they do.
+    nodes_topic : str
+        Topic of the nodes' own records, of which the store keeps the newest of each key.
     readers_per_data_centre : int
         Nodes that follow the configuration there by themselves; the others ask one of them.
     """
@@ -83,6 +85,7 @@
     address: str
     configuration_topic: str
     configuration_key: str
+    nodes_topic: str
     readers_per_data_centre: int = 4
 
 
--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -20,6 +20,7 @@
 from hoisthook.node.call import Lost
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_store import StoreStandin
+from standin.mesh_system import NODES_TOPIC
 from standin.mesh_system import RouteOptions
 from standin.mesh_system import configuration
 from standin.mesh_system import free_address
@@ -225,6 +226,7 @@
 address = "{place.store}"
 configuration_topic = "{TOPIC}"
 configuration_key = "{KEY}"
+nodes_topic = "{NODES_TOPIC}"
 [shutdown]
 grace_seconds = {self.grace_seconds}
 """
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -34,6 +34,7 @@
     from hoisthook.port.event_log import EventLog
 
 HOST = "127.0.0.1"
+NODES_TOPIC = "keyed.nodes"
 ANY_PORT = f"{HOST}:0"
 FIRST_PORT = 10_000
 LAST_PORT = 30_000
@@ -259,7 +260,11 @@
             listen=MeshListenSettings(ANY_PORT, free_address(), ANY_PORT, ANY_PORT),
             backend_server=BackendServerSettings(format_address(backend.address), 1.0),
             store=StoreSettings(
-                format_address(self.store.address), TOPIC, KEY, self.readers_per_data_centre
+                format_address(self.store.address),
+                TOPIC,
+                KEY,
+                NODES_TOPIC,
+                self.readers_per_data_centre,
             ),
         )
         node = MeshNode(
--- a/standin/soak.py
+++ b/standin/soak.py
@@ -31,6 +31,7 @@
 from standin.mesh_cluster import MeshCluster
 from standin.mesh_store import Outage
 from standin.mesh_store import split_record
+from standin.mesh_system import NODES_TOPIC
 from standin.mesh_system import RouteOptions
 from standin.soak_load import Findings
 from standin.soak_load import SoakLoad
@@ -42,7 +43,6 @@
     from standin.mesh_cluster import MeshPlace
 
 SMALL = Deployment("soak", ("one", "two"), {"shop": 3, "bank": 3}, slots=4)
-NODES_TOPIC = "keyed.nodes"
 FAULT_GAP_SECONDS = 0.4
 # A drain's acknowledgement to the last request that may arrive.
 DRAIN_SECONDS = 2.0
--- a/tests/process/test_platform_process.py
+++ b/tests/process/test_platform_process.py
@@ -33,6 +33,7 @@
 address = "{}"
 configuration_topic = "keyed.op"
 configuration_key = "config"
+nodes_topic = "keyed.nodes"
 [shutdown]
 grace_seconds = 4.0
 """
