One way to read a whole body; node.py without the operators' socket and its own record

A peer's question that breaks off is a line of the log. No behaviour else. Checked: all tests, mypy, formatter, linter.

--- a/src/hoisthook/adapter/http/body_stream.py
+++ b/src/hoisthook/adapter/http/body_stream.py
@@ -103,6 +103,29 @@
             await self._waiter
         return self.take_buffered()
 
+    async def read_all(self, *, piece_timeout: float | None = None) -> bytes:
+        """Return the rest of a whole body.
+
+        Parameters
+        ----------
+        piece_timeout : float, optional
+            Seconds to wait for each piece at most.
+
+        Raises
+        ------
+        BrokenExchangeError
+            If the body broke off.
+        TimeoutError
+            If a piece did not come in time.
+        """
+        data = b""
+        while True:
+            async with asyncio.timeout(piece_timeout):
+                piece = await self.read()
+            if not piece:
+                return data
+            data += piece
+
     def _wake(self) -> None:
         waiter = self._waiter
         if waiter is not None and not waiter.done():
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -85,12 +84,12 @@
         call = _call(exchange, header, received)
         held_back = exchange.head.get(b"transfer-encoding") is not None
         if not held_back:
-            call.body = await _read_body(exchange)
+            call.body = await exchange.body.read_all(piece_timeout=PIECE_SECONDS)
 
         async def admitted() -> None:
             exchange.go_ahead()
             if held_back:
-                call.body = await _read_body(exchange)
+                call.body = await exchange.body.read_all(piece_timeout=PIECE_SECONDS)
 
         outcome = await self._beside.run(call, header.admission, header.max_wait, admitted=admitted)
         self._answer(exchange, outcome)
@@ -110,16 +109,6 @@
         exchange.respond(outcome.code.value.http_status, headers)
 
 
-async def _read_body(exchange: ServerExchange) -> bytes:
-    data = b""
-    while True:
-        async with asyncio.timeout(PIECE_SECONDS):
-            chunk = await exchange.body.read()
-        if not chunk:
-            return data
-        data += chunk
-
-
 def _call(exchange: ServerExchange, header: HopHeader, received: float) -> RoutedCall:
     headers = [
         (name, value)
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh.peer import Peer
 from hoisthook.mesh.whole_exchange import exchange_whole
@@ -180,11 +181,12 @@
 
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer a peer's question."""
-        data = b""
-        while chunk := await exchange.body.read():
-            data += chunk
         try:
-            question = msgspec.json.decode(data, type=SyncQuestion)
+            question = msgspec.json.decode(await exchange.body.read_all(), type=SyncQuestion)
+        except BrokenExchangeError as error:
+            self._log.event("peer_question_unreadable", reason=str(error))
+            exchange.abort()
+            return
         except msgspec.DecodeError as error:
             self._log.event("peer_question_unreadable", reason=str(error))
             exchange.respond(400, [])
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -5,12 +5,9 @@
 import asyncio
 import random
 import secrets
-import socket
 import time
 from typing import TYPE_CHECKING
 
-from grpclib.server import Server
-
 from hoisthook.adapter.control_app import make_announcement_app
 from hoisthook.adapter.control_app import make_peer_app
 from hoisthook.adapter.http.asgi_bridge import serve_asgi
@@ -21,7 +18,6 @@
 from hoisthook.configuration.configuration_desk import ConfigurationDesk
 from hoisthook.configuration.configuration_follower import ConfigurationFollower
 from hoisthook.configuration.configuration_state import ConfigurationState
-from hoisthook.exceptions import HoisthookError
 from hoisthook.idempotency.key_register import KeyRegister
 from hoisthook.identity import Incarnation
 from hoisthook.identity import NodeId
@@ -31,7 +27,6 @@
 from hoisthook.measure.measurer import Measurer
 from hoisthook.membership.gossip import Gossip
 from hoisthook.membership.member import Member
-from hoisthook.membership.member import MemberStatus
 from hoisthook.membership.member_table import MemberTable
 from hoisthook.membership.pause_guard import TICK_SECONDS
 from hoisthook.membership.pause_guard import PauseGuard
@@ -45,6 +40,8 @@
 from hoisthook.node.key_desk import KeyDesk
 from hoisthook.node.node_metrics import NodeMetrics
 from hoisthook.node.node_report import NodeReport
+from hoisthook.node.operators_endpoint import OperatorsEndpoint
+from hoisthook.node.own_record import OwnRecord
 from hoisthook.node.reply import refuse
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
@@ -106,13 +103,11 @@
         self._randomness = random.Random(secrets.randbits(64))
         self.incarnation = Incarnation(secrets.token_hex(8))
         self._tasks: list[asyncio.Task[None]] = []
-        self._announcing: set[asyncio.Task[None]] = set()
         self.state = ConfigurationState()
         self.guard = PauseGuard(clock.now())
         self._share = ConcurrencyShare(settings.node.id)
         self._hop_pool = ClientPool()
         self._backend_pool = ClientPool()
-        self._operators: Server | None = None
         self._make_servers()
         self._make_membership()
         self._make_configuration()
@@ -136,7 +131,7 @@
     @property
     def operators_address(self) -> Address:
         """Return where operators reach it."""
-        return self._operators_address
+        return self._operators.address
 
     async def start(self) -> None:
         """Open all sockets, then begin to talk and to follow the log.
@@ -149,7 +144,7 @@
         await self._callers.start()
         await self._peer_server.start()
         await self._announcements.start()
-        await self._start_operators()
+        await self._operators.start()
         self.table.update_me(self._clock.now(), address=format_address(self.peers_address))
         loop = asyncio.get_running_loop()
         runs = [
@@ -185,7 +180,7 @@
         timeout = self.settings.shutdown.drain_seconds
         ended = await asyncio.gather(self._callers.close(timeout), self._peer_server.close(timeout))
         await self._announcements.close(1.0)
-        await self._close_operators()
+        await self._operators.close()
         await self._end_tasks()
         self._hop_pool.close()
         self._backend_pool.close()
@@ -207,13 +202,14 @@
 
     async def abort(self) -> None:
         """Drop everything at once, as a crash would."""
-        for task in [*self._tasks, *self._announcing]:
+        for task in self._tasks:
             task.cancel()
+        self._own_record.close()
         for server in (self._callers, self._peer_server, self._announcements):
             server.abort()
         self._hop_pool.close()
         self._backend_pool.close()
-        await self._close_operators()
+        await self._operators.close()
 
     def _make_servers(self) -> None:
         listen = self.settings.listen
@@ -222,7 +218,6 @@
         self._announcements = CallServer(
             parse_address(listen.announcements), self._serve_announcement
         )
-        self._operators_address = parse_address(listen.operators)
 
     def _make_membership(self) -> None:
         me = Member(
@@ -307,6 +302,13 @@
             self.register,
             self.guard,
         )
+        self._operators = OperatorsEndpoint(
+            parse_address(self.settings.listen.operators),
+            OperatorService(self._desk, self.state, self.table, self._report.status),
+        )
+        self._own_record = OwnRecord(
+            self.beside, self.state, self.table, self.gossip, self._clock, self._decisions
+        )
         self._peer_app = make_peer_app(self.gossip, self.table, self.follower)
         self._announcement_app = make_announcement_app(self.announced, self._announcement_status)
 
@@ -361,35 +363,7 @@
         self.beside.set_operator_drain(self.beside.backend_server in self.state.drained)
         spec = self.state.service_by_name.get(self.beside.service)
         self._measurer.budget.rate = 0.0 if spec is None else spec.measure_per_second
-        self._say_what_changed()
-
-    def _say_what_changed(self) -> None:
-        beside = self.beside
-        me = self.table.me
-        if me.status is MemberStatus.LEFT:
-            return
-        # A node that does not know the service's limits yet cannot keep them.
-        takes_work = beside.takes_work() and beside.service in self.state.service_by_name
-        told = (me.backend_server, me.service, me.slots, me.takes_work)
-        if told == (beside.backend_server, beside.service, beside.gate.slots, takes_work):
-            return
-        self.table.update_me(
-            self._clock.now(),
-            backend_server=beside.backend_server,
-            service=beside.service,
-            slots=beside.gate.slots,
-            takes_work=takes_work,
-        )
-        self._decisions.event(
-            "backend_server",
-            backend_server=beside.backend_server,
-            service=beside.service,
-            phase=beside.state.phase.value,
-            takes_work=takes_work,
-        )
-        task = asyncio.get_running_loop().create_task(self.gossip.announce())
-        self._announcing.add(task)
-        task.add_done_callback(self._announcing.discard)
+        self._own_record.refresh()
 
     async def _tick_forever(self) -> None:
         while True:
@@ -400,7 +374,7 @@
                 self._decisions.event("paused")
             self.beside.tick()
             self._share.observe(self.table.serving(self.beside.service), now)
-            self._say_what_changed()
+            self._own_record.refresh()
             self._decisions.flush()
             await asyncio.sleep(TICK_SECONDS)
 
@@ -421,19 +395,3 @@
     def _publish(self) -> None:
         if self._statsd is not None:
             self._statsd.publish(self._report.counters(), self._report.gauges())
-
-    async def _start_operators(self) -> None:
-        service = OperatorService(self._desk, self.state, self.table, self._report.status)
-        self._operators = Server([service])
-        try:
-            listening = socket.create_server(self._operators_address)
-        except OSError as error:
-            detail = f"{format_address(self._operators_address)}: {error.strerror}"
-            raise HoisthookError(ResultCode.PORT_UNAVAILABLE, detail) from error
-        self._operators_address = listening.getsockname()[:2]
-        await self._operators.start(sock=listening)
-
-    async def _close_operators(self) -> None:
-        if self._operators is not None:
-            self._operators.close()
-            await self._operators.wait_closed()
--- /dev/null
+++ b/src/hoisthook/node/own_record.py
@@ -0,0 +1,87 @@
+"""What a node tells the others of the backend server beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.membership.member import MemberStatus
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.json_log import JsonDecisionLog
+    from hoisthook.configuration.configuration_state import ConfigurationState
+    from hoisthook.membership.gossip import Gossip
+    from hoisthook.membership.member_table import MemberTable
+    from hoisthook.node.beside import Beside
+    from hoisthook.port.clock import Clock
+
+
+class OwnRecord:
+    """Keeps the node's own record in the member table true and announces its changes.
+
+    Parameters
+    ----------
+    beside : Beside
+        The backend server's side.
+    state : ConfigurationState
+        Tells whether its service's limits are known.
+    table : MemberTable
+        Holds the record.
+    gossip : Gossip
+        Spreads it.
+    clock : Clock
+        Monotonic.
+    decisions : JsonDecisionLog
+        Gets a line for each change.
+    """
+
+    def __init__(
+        self,
+        beside: Beside,
+        state: ConfigurationState,
+        table: MemberTable,
+        gossip: Gossip,
+        clock: Clock,
+        decisions: JsonDecisionLog,
+    ) -> None:
+        self._beside = beside
+        self._state = state
+        self._table = table
+        self._gossip = gossip
+        self._clock = clock
+        self._decisions = decisions
+        self._announcing: set[asyncio.Task[None]] = set()
+
+    def refresh(self) -> None:
+        """Announce what has changed, if anything has."""
+        beside = self._beside
+        me = self._table.me
+        if me.status is MemberStatus.LEFT:
+            return
+        # A node that does not know the service's limits yet cannot keep them.
+        takes_work = beside.takes_work() and beside.service in self._state.service_by_name
+        told = (me.backend_server, me.service, me.slots, me.takes_work)
+        if told == (beside.backend_server, beside.service, beside.gate.slots, takes_work):
+            return
+        self._table.update_me(
+            self._clock.now(),
+            backend_server=beside.backend_server,
+            service=beside.service,
+            slots=beside.gate.slots,
+            takes_work=takes_work,
+        )
+        self._decisions.event(
+            "backend_server",
+            backend_server=beside.backend_server,
+            service=beside.service,
+            phase=beside.state.phase.value,
+            takes_work=takes_work,
+        )
+        task = asyncio.get_running_loop().create_task(self._gossip.announce())
+        self._announcing.add(task)
+        task.add_done_callback(self._announcing.discard)
+
+    def close(self) -> None:
+        """Stop announcements that are under way."""
+        for task in self._announcing:
+            task.cancel()
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -138,9 +138,7 @@
             self.health_reads += 1
             exchange.respond(200 if self.healthy else 503, self._told())
             return
-        body = b""
-        while data := await exchange.body.read():
-            body += data
+        body = await exchange.body.read_all()
         request_id = headers[b"x-request-id"].decode()
         self.arrivals.append(Arrival(request_id, exchange.head.target, headers, body))
         self.arrival_times.append(time.monotonic())
--- a/standin/mesh_store.py
+++ b/standin/mesh_store.py
@@ -123,9 +123,7 @@
         path, _, query = exchange.head.target.decode().partition("?")
         name = path.rpartition("/")[2]
         self.calls.append(name)
-        body = b""
-        while data := await exchange.body.read():
-            body += data
+        body = await exchange.body.read_all()
         if self.outage is not Outage.NONE and (not self.only or exchange.peer[0] in self.only):
             if self.outage is Outage.ANSWER_LOST and name == "log-append":
                 self._append(parse_qs(query), body)
