--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -26,6 +25,8 @@
 from tests.fakes import FakeLog
 from tests.fakes import FakePeer
 from tests.fakes import FakePeers
+from tests.node.backend import Backend
+from tests.node.faulty_wire import Wire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,84 +63,6 @@
     def flush(self) -> None: ...
 
 
-class Backend:
-    """A backend server on raw streams; it notes each run before it works."""
-
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.runs: list[str] = []
-        self.headers: list[bytes] = []
-        self.work = 0.0
-        self.raw_answer: Callable[[str], bytes] | None = None
-        self.die_after: bytes | None = None
-        self.active = 0
-        self.most_active = 0
-        self.cancelled = 0
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.address = ("", 0)
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = self._server.sockets[0].getsockname()
-
-    def close(self) -> None:
-        assert self._server is not None
-        self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        try:
-            while await self._serve_one(reader, writer):
-                pass
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            writer.transport.abort()
-
-    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        head = await reader.readuntil(b"\r\n\r\n")
-        headers = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:-2])
-        body = await reader.readexactly(int(headers.get(b"content-length", b"0")))
-        name = headers[b"x-run"].decode()
-        self.runs.append(name)
-        self.headers.append(head)
-        self.active += 1
-        self.most_active = max(self.most_active, self.active)
-        try:
-            if self.work:
-                await self._work(reader)
-            writer.write(self._answer(name, body))
-            await writer.drain()
-            return self.die_after is None
-        finally:
-            self.active -= 1
-
-    async def _work(self, reader: asyncio.StreamReader) -> None:
-        """Work, unless the request is cancelled by its connection's end."""
-        gone = asyncio.ensure_future(reader.read(1))
-        done, _ = await asyncio.wait([gone], timeout=self.work)
-        gone.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await gone
-        if done:
-            self.cancelled += 1
-            raise ConnectionError("cancelled")
-
-    def _answer(self, name: str, body: bytes) -> bytes:
-        if self.raw_answer is not None:
-            return self.raw_answer(name)
-        content = f"{name}|{body.decode()}|{self.name}|{'.' * 200}".encode()
-        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(content)
-        whole = head + content
-        return whole if self.die_after is None else whole[: whole.index(self.die_after)]
-
-
 @dataclass
 class Got:
     """What a caller got: a whole answer, or None where it broke off."""
@@ -155,126 +78,6 @@
         return int(self.result.split()[0]) if self.result else -1
 
 
-class Wire:
-    """A relay that fails at one step of the first exchange it carries.
-
-    Steps: ``connect``, ``send`` (nothing sent on), ``send-half``, ``sent`` (all
-    sent on), ``answer`` (nothing of the answer sent back), ``answer-half``,
-    ``answer-end`` (all but three bytes). Faults: ``cut``, ``freeze``, ``delay``,
-    ``duplicate``, or a callable.
-    """
-
-    def __init__(self, upstream: tuple[str, int]) -> None:
-        self.upstream = upstream
-        self.step = ""
-        self.fault: str | Callable[[], object] = ""
-        self.hits = 0
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-        self.address = ("", 0)
-
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = self._server.sockets[0].getsockname()
-
-    def close(self) -> None:
-        assert self._server is not None
-        self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-
-    async def restart(self, *, upstream: tuple[str, int]) -> None:
-        """Drop all connections and relay new ones elsewhere."""
-        self.upstream = upstream
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.sleep(0.01)
-
-    def plan(self, step: str, fault: str | Callable[[], object]) -> None:
-        self.step, self.fault, self.hits = step, fault, 0
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        writers = [writer]
-        try:
-            await self._relay(reader, writer, writers)
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            for each in writers:
-                each.transport.abort()
-
-    async def _relay(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        writers: list[asyncio.StreamWriter],
-    ) -> None:
-        await self._at("connect")
-        up_reader, up_writer = await asyncio.open_connection(*self.upstream)
-        writers.append(up_writer)
-        forward = asyncio.ensure_future(self._pump_requests(reader, up_writer))
-        back = asyncio.ensure_future(self._pump_answers(up_reader, writer))
-        try:
-            await asyncio.wait([forward, back], return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            forward.cancel()
-            back.cancel()
-            await asyncio.gather(forward, back, return_exceptions=True)
-
-    async def _pump_requests(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        while data := await reader.read(65536):
-            await self._at("send")
-            half = len(data) // 2
-            writer.write(data[:half])
-            await self._at("send-half")
-            writer.write(data[half:])
-            await writer.drain()
-            if self.step == "sent" and self.fault == "duplicate" and self._first():
-                await self._replay(data)
-            await self._at("sent")
-
-    async def _pump_answers(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        while data := await reader.read(65536):
-            await self._at("answer")
-            half = len(data) // 2
-            writer.write(data[:half])
-            await self._at("answer-half")
-            writer.write(data[half:-3])
-            await self._at("answer-end")
-            writer.write(data[-3:])
-
-    async def _replay(self, data: bytes) -> None:
-        _, writer = await asyncio.open_connection(*self.upstream)
-        writer.write(data)
-        await writer.drain()
-        await asyncio.sleep(0.05)
-        writer.transport.abort()
-
-    def _first(self) -> bool:
-        self.hits += 1
-        return self.hits == 1
-
-    async def _at(self, step: str) -> None:
-        if step != self.step or self.fault == "duplicate" or not self._first():
-            return
-        if self.fault == "cut":
-            raise ConnectionError("cut")
-        if self.fault == "freeze":
-            await asyncio.sleep(3600)
-        if self.fault == "delay":
-            await asyncio.sleep(0.05)
-        if callable(self.fault):
-            self.fault()
-
-
 class System:
     """Entries ``a`` and ``c``, nodes ``b1`` and ``b2`` beside backend servers."""
 
--- /dev/null
+++ b/tests/node/loopback_listener.py
@@ -0,0 +1,45 @@
+"""A socket on loopback whose connections each have a conversation."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC
+from abc import abstractmethod
+
+
+class LoopbackListener(ABC):
+    """Runs `converse` for each connection; `close` ends all of them."""
+
+    def __init__(self) -> None:
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ("", 0)
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = self._server.sockets[0].getsockname()
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self.drop_connections()
+
+    def drop_connections(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+
+    @abstractmethod
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Speak on one connection until it is over; it is dropped afterwards."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self.converse(reader, writer)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
