An answer of something else at a key holder's address is not handed on

Cause: the node that asks a key's holder took any answer for the holder's, and gave it to the caller. Where the holder is gone and its address belongs to another program, that is a foreign answer. Change: an answer without hoisthook-result is not the holder's: 3008, unknown. Keyed path only; the platform's path does not load this module.

--- a/src/hoisthook/node/key_desk.py
+++ b/src/hoisthook/node/key_desk.py
@@ -194,6 +194,13 @@
             refuse(exchange, ResultCode.ANSWER_LOST, retry_after=HOLDER_RETRY_SECONDS)
             return
 
+        if head.get(wire.RESULT) is None:
+            # Something else than a node answers at the holder's address now.
+            exchanger.stop()
+            connection.close()
+            refuse(exchange, ResultCode.HOLDER_UNREACHABLE, retry_after=HOLDER_RETRY_SECONDS)
+            return
+
         def finish(whole: bool) -> None:
             exchanger.stop()
             if whole:
--- a/tests/node/test_bad_peers.py
+++ b/tests/node/test_bad_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -77,6 +78,25 @@
     assert system.runs("r") == 0
 
 
+async def test_answer_of_something_else_at_the_holders_address_is_not_handed_on(
+    system: System,
+) -> None:
+    key = await system.issue_key("a")
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nforeign")
+        await writer.drain()
+
+    foreign = await asyncio.start_server(answer, "127.0.0.1", 0)
+    await system.wire_by_name["holder"].restart(upstream=foreign.sockets[0].getsockname())
+    address = system.node_by_name["c"].callers_address
+    got = await system.call(address, "r", method=b"POST", key=key, body=b"5")
+    foreign.close()
+    assert (got.code, got.ran) == (3008, "unknown")
+    assert b"foreign" not in got.body
+
+
 async def test_operators_bad_value_gets_its_number(system: System) -> None:
     host, port = system.node_by_name["a"].operators_address
     channel = Channel(host, port)
