--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -205,3 +205,25 @@
     assert server.node.link.gate.running == 0
     assert server.backend.arrivals == []
     writer.close()
+
+
+async def test_connection_of_a_refused_request_carries_the_next_one(system: MeshSystem) -> None:
+    server = await system.add("shop", slots=1)
+    server.node.link.gate.running = 1
+    reader, writer = await asyncio.open_connection(*server.node.peers_address)
+    head = (
+        b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
+        b"transfer-encoding: chunked\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 0\r\n\r\n"
+    )
+    writer.write(head)
+    refusal = await reader.readuntil(b"\r\n\r\n")
+    assert refusal.split()[1] == b"503"
+    assert b"connection: close" not in refusal
+    server.node.link.gate.leave()
+    writer.write(b"0\r\n\r\n" + head)
+    assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+    writer.write(b"1\r\n5\r\n0\r\n\r\n")
+    assert (await reader.readuntil(b"\r\n\r\n")).split()[1] == b"200"
+    assert [arrival.body for arrival in server.backend.arrivals] == [b"5"]
+    writer.close()
