A first try that is over is not given up when its hedge answers

Cause: a hedge that answered gave the first try up even if that had been refused before; giving it up closes its connection, which was back in the pool by then and carried another request. That request ended with 3001 ANSWER_LOST. Ruled out, by a loop of the test's scenario that notes who drops a connection with a request on it: the server side and the stand-in backend servers. 4 odd runs in 450, each with one connection dropped by HedgeRace._second_done, used for the third or fourth time. Change: the race forgets the first try once it is over. Keyed path only; the platform's path does not load this module. Test: test_first_try_that_is_over_is_not_given_up_when_the_second_answers failed before.

--- a/src/hoisthook/node/hedge_race.py
+++ b/src/hoisthook/node/hedge_race.py
@@ -63,6 +63,8 @@
             self._give_up_second()
 
     async def _settle(self, result: RunResult) -> RunResult:
+        # The first try is over; its connection may carry another request by now.
+        self._first = None
         if self._winner is not None:
             if isinstance(result, Answer):
                 result.finish(whole=False)
--- /dev/null
+++ b/tests/node/test_hedge_race.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import asyncio
+
+from hoisthook.adapter.http.body_stream import BodyStream
+from hoisthook.adapter.http.message import AnswerHead
+from hoisthook.node.answer import Answer
+from hoisthook.node.attempt import Attempt
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.node.hedge_race import HedgeRace
+from hoisthook.result_code import ResultCode
+
+
+class Source:
+    def pause_body(self) -> None: ...
+
+    def resume_body(self) -> None: ...
+
+
+def answer() -> Answer:
+    return Answer(AnswerHead(200, []), BodyStream(Source()), "b", lambda whole: None)
+
+
+async def test_first_try_that_is_over_is_not_given_up_when_the_second_answers() -> None:
+    given_up: list[str] = []
+    first = Attempt(1, may_wait=False)
+    first.on_abandon(lambda: given_up.append("first"))
+    second_may_end = asyncio.Event()
+    second_began = asyncio.Event()
+    theirs = answer()
+
+    async def run_first() -> Refused:
+        await second_began.wait()
+        return Refused(ResultCode.SLOTS_FULL, 0.1)
+
+    async def run_second() -> Answer:
+        second_began.set()
+        await second_may_end.wait()
+        return theirs
+
+    race = HedgeRace(lambda: (Attempt(2, may_wait=True, hedge=True), run_second()))
+    racing = asyncio.create_task(race.run(run_first(), first, 0.0))
+    await second_began.wait()
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    second_may_end.set()
+    assert await racing is theirs
+    assert given_up == []
+
+
+async def test_first_try_under_way_is_given_up_when_the_second_answers() -> None:
+    first_ends = asyncio.Event()
+    first = Attempt(1, may_wait=False)
+    first.on_abandon(first_ends.set)
+    theirs = answer()
+
+    async def run_first() -> Lost:
+        await first_ends.wait()
+        return Lost(ResultCode.ANSWER_LOST)
+
+    async def run_second() -> Answer:
+        return theirs
+
+    race = HedgeRace(lambda: (Attempt(2, may_wait=True, hedge=True), run_second()))
+    assert await race.run(run_first(), first, 0.0) is theirs
+    assert first.abandoned
