--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -10,6 +10,7 @@
 
 from hoisthook.adapter.http.body_stream import BodyStream
 from hoisthook.adapter.http.flow_control import FlowControl
+from hoisthook.adapter.http.message import PROCESSING_STATUS
 from hoisthook.adapter.http.message import AnswerHead
 from hoisthook.adapter.http.message import Header
 from hoisthook.exceptions import BrokenExchangeError
@@ -40,6 +41,7 @@
         self._ends_with_connection = False
         self._interim = False
         self._go_ahead: asyncio.Future[bool] | None = None
+        self._processing: asyncio.Event | None = None
         self._whole = False
         self._surplus = False
         self.body = BodyStream(self)
@@ -104,6 +106,7 @@
         self.body = BodyStream(self)
         self._head_waiter = asyncio.get_running_loop().create_future()
         self._go_ahead = None
+        self._processing = None
         if self.closed:
             self._fail("connection closed before the request")
         else:
@@ -120,6 +123,11 @@
             self._go_ahead.set_result(False)
         return self._go_ahead
 
+    def processing(self) -> asyncio.Event:
+        """Return an event that is set once the other side says that the request is kept waiting."""
+        self._processing = asyncio.Event()
+        return self._processing
+
     def send_more(self, data: bytes) -> None:
         """Send a further piece of the request of the exchange under way."""
         if not self.closed and self._transport is not None:
@@ -201,7 +209,7 @@
         status = self._parser.get_status_code()
         self._interim = 100 <= status < 200
         if self._interim:
-            self._settle_go_ahead(asked=True)
+            self._note_interim(status)
         if self._interim or self._whole:
             return
         head = AnswerHead(status, self._headers)
@@ -244,6 +252,12 @@
         self._fail(reason)
         self.release_writer()
 
+    def _note_interim(self, status: int) -> None:
+        if status != PROCESSING_STATUS:
+            self._settle_go_ahead(asked=True)
+        elif self._processing is not None:
+            self._processing.set()
+
     def _settle_go_ahead(self, *, asked: bool) -> None:
         if self._go_ahead is not None and not self._go_ahead.done():
             self._go_ahead.set_result(asked)
--- /dev/null
+++ b/src/hoisthook/admission/admission_policy.py
@@ -0,0 +1,120 @@
+"""Whether a request starts, waits or is turned away beside a backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.admission.demand import Demand
+    from hoisthook.admission.priority_gate import PriorityGate
+    from hoisthook.admission.server_speed import ServerSpeed
+    from hoisthook.port.clock import Clock
+
+# A request that would be late if it began in a slow moment is started on a report that is wrong
+# with at most this chance; else the load is read first. A read costs about a millisecond, a late
+# answer several times the work of the request.
+MAX_BLIND_CHANCE = 0.03
+# A report of a slow moment turns requests away for nothing once it is wrong; they go elsewhere
+# at the price of a hop, so it may be wrong more often before a read is worth its cost.
+MAX_STALE_SLOW_CHANCE = 0.3
+MIN_RETRY_AFTER_SECONDS = 0.02
+
+
+class Verdict(Enum):
+    """What is decided about a request."""
+
+    ADMIT = "admit"
+    FULL = "full"
+    SLOW = "slow"
+
+
+@dataclass(frozen=True, slots=True)
+class Ruling:
+    """A verdict and when to ask again.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        What is decided.
+    retry_after : float
+        Seconds after which a slot is likely to be free; 0 if admitted.
+    """
+
+    verdict: Verdict
+    retry_after: float = 0.0
+
+
+ADMITTED = Ruling(Verdict.ADMIT)
+
+
+class AdmissionPolicy:
+    """Starts, queues or rejects a request by the time at which it would end here.
+
+    Load pattern: work takes several times as long when it begins in a slow moment, and all
+    servers of a service are slow or full at once after a restart or in a burst.
+
+    Parameters
+    ----------
+    gate : PriorityGate
+        Slots and those that wait for them.
+    speed : ServerSpeed
+        How long work takes.
+    clock : Clock
+        Monotonic.
+    """
+
+    def __init__(self, gate: PriorityGate, speed: ServerSpeed, clock: Clock) -> None:
+        self._gate = gate
+        self._speed = speed
+        self._clock = clock
+
+    def start_now(self, demand: Demand) -> Ruling:
+        """Rule on a request that may only start at once."""
+        if not self._gate.has_room:
+            return Ruling(Verdict.FULL, self.time_to_start(demand))
+        if not self._gate.starts_well(demand):
+            spell = self._speed.moments.spell_seconds
+            return Ruling(Verdict.SLOW, max(MIN_RETRY_AFTER_SECONDS, spell))
+        return ADMITTED
+
+    def may_wait(self, demand: Demand) -> Ruling:
+        """Rule on a request that may wait for a slot.
+
+        It waits if it is likely to start before `waits_until`; else its caller is better served
+        by hearing at once when to come back.
+        """
+        start = self._gate.forecast_start(demand)
+        if start > self.waits_until(demand):
+            return Ruling(Verdict.FULL, self.time_to_start(demand))
+        return ADMITTED
+
+    def waits_until(self, demand: Demand) -> float:
+        """Return until when a request is kept waiting.
+
+        That is the last moment at which it can still begin and end within its target. Past it,
+        an answer is late, but a longer request may wait for it; so it gets the time in which
+        the slots are all given out once more, which serves it if the server has any room.
+        """
+        now = self._clock.now()
+        seconds = self._speed.seconds_usual(demand.work)
+        until = max(demand.due - seconds, now + self._gate.turnover_seconds)
+        return min(until, demand.deadline - seconds)
+
+    def time_to_start(self, demand: Demand) -> float:
+        """Return the seconds after which a request is likely to get a slot."""
+        start = self._gate.forecast_start(demand)
+        return max(MIN_RETRY_AFTER_SECONDS, start - self._clock.now())
+
+    def is_read_worthwhile(self, demand: Demand) -> bool:
+        """Return whether a read of the load could change what is decided about a request."""
+        if not self._gate.has_room:
+            return False
+        now = self._clock.now()
+        moments = self._speed.moments
+        if now + self._speed.seconds_slow(demand.work) <= demand.due:
+            return False
+        if moments.is_slow:
+            return moments.chance_of_change(now) > MAX_STALE_SLOW_CHANCE
+        return moments.chance_of_change(now) > MAX_BLIND_CHANCE
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -4,99 +4,185 @@
 
 import asyncio
 import heapq
+import math
 from dataclasses import dataclass
-from dataclasses import field
+from typing import TYPE_CHECKING
 
+if TYPE_CHECKING:
+    from hoisthook.admission.demand import Demand
+    from hoisthook.admission.server_speed import ServerSpeed
+    from hoisthook.port.clock import Clock
 
-@dataclass(order=True, slots=True)
+# A request that runs longer than forecast is expected to run on for this share of its work.
+OVERRUN_SHARE = 0.2
+
+
+@dataclass(slots=True, eq=False)
+class Slot:
+    """A slot that a request holds; given back once.
+
+    Attributes
+    ----------
+    ends : float
+        When the request is expected to end.
+    work : float
+        What it was expected to take.
+    """
+
+    ends: float
+    work: float
+
+
+@dataclass(slots=True, eq=False)
 class _Waiter:
-    priority: int
-    due: float
+    demand: Demand
     number: int
-    admitted: asyncio.Future[bool] = field(compare=False)
+    admitted: asyncio.Future[Slot | None]
 
 
 class PriorityGate:
     """At most ``limit`` requests run; others wait in order of priority, then of urgency.
 
-    Among requests of one priority the one whose target latency ends first goes first: a
-    short call on which a longer request waits is not held up by requests with time to spare.
+    Requests that can still end within their target go before those that cannot, and among
+    them the one that must start first goes first: a short call on which a longer request
+    waits is not held up by requests with time to spare. In a slow moment that will soon be
+    over nothing starts that would miss its target by it: such work holds a slot for several
+    times its usual time, which halves what the server can do while many wait.
 
     Parameters
     ----------
     limit : int
         How many may run.
+    speed : ServerSpeed
+        How long work takes.
+    clock : Clock
+        Monotonic.
     """
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, speed: ServerSpeed, clock: Clock) -> None:
         self._limit = limit
+        self._speed = speed
+        self._clock = clock
         self._waiters: list[_Waiter] = []
+        self._running: set[Slot] = set()
         self._numbers = 0
-        self.running = 0
 
     @property
     def limit(self) -> int:
         """Return how many may run."""
         return self._limit
 
+    @property
+    def running(self) -> int:
+        """Return how many run."""
+        return len(self._running)
+
     @property
     def waiting(self) -> int:
         """Return how many wait."""
-        return sum(1 for waiter in self._waiters if not waiter.admitted.done())
+        return len(self._waiters)
 
     @property
     def has_room(self) -> bool:
-        """Return whether a request would start at once."""
-        return self.running < self._limit and not self.waiting
+        """Return whether a slot is free and nobody waits for one."""
+        return self.running < self._limit and not self._waiters
 
-    def waiting_before(self, priority: int) -> int:
-        """Return how many would get a slot before a request of ``priority``."""
-        return sum(1 for w in self._waiters if w.priority <= priority and not w.admitted.done())
+    @property
+    def is_holding(self) -> bool:
+        """Return whether requests wait although slots are free, for a slow moment to end."""
+        return self.running < self._limit and bool(self._waiters)
+
+    @property
+    def turnover_seconds(self) -> float:
+        """Return what the requests that run were expected to take on average."""
+        if not self._running:
+            return 0.0
+        return sum(slot.work for slot in self._running) / len(self._running)
+
+    def waiting_before(self, demand: Demand) -> int:
+        """Return how many would get a slot before a request that came now."""
+        now = self._clock.now()
+        mine = self._order(demand, now)
+        return sum(1 for waiter in self._waiters if self._order(waiter.demand, now) <= mine)
+
+    def starts_well(self, demand: Demand) -> bool:
+        """Return whether a request may start at this moment's speed."""
+        now = self._clock.now()
+        if now + self._speed.seconds_now(demand.work) <= demand.due:
+            return True
+        return not self._speed.soon_faster(now)
+
+    def forecast_start(self, demand: Demand) -> float:
+        """Return when a request that came now would get a slot."""
+        now = self._clock.now()
+        ends = [self._expected_end(slot, now) for slot in self._running]
+        ends.extend(now for _ in range(self._limit - len(ends)))
+        heapq.heapify(ends)
+        start = self._next_start(ends)
+        mine = self._order(demand, now)
+        for waiter in self._waiters:
+            if self._order(waiter.demand, now) <= mine:
+                heapq.heappush(ends, start + self._speed.seconds_usual(waiter.demand.work))
+                start = self._next_start(ends)
+        if self._speed.soon_faster(now) and not self.starts_well(demand):
+            start = max(start, now + self._speed.moments.spell_seconds)
+        return start
 
     def set_limit(self, limit: int) -> None:
         """Change how many may run; those running are left alone."""
         self._limit = limit
-        self._admit()
+        self.admit()
 
-    async def enter(self, priority: int, max_wait: float, *, due: float = 0.0) -> bool:
-        """Take a slot.
+    async def enter(self, demand: Demand, until: float = -math.inf) -> Slot | None:
+        """Take a slot, waiting for it until some moment at most.
 
         Parameters
         ----------
-        priority : int
-            Rank; 0 is the most urgent.
-        max_wait : float
-            Seconds to wait at most.
-        due : float
-            When its target latency ends, on any clock that all callers share.
+        demand : Demand
+            The request.
+        until : float
+            When to give up; in the past to wait not at all.
 
         Returns
         -------
-        bool
-            Whether a slot was got; `leave` gives it back.
+        Slot or None
+            What `leave` gives back; None if no slot was got.
         """
-        if self.has_room:
-            self.running += 1
-            return True
-        if max_wait <= 0:
-            return False
+        if self.has_room and self.starts_well(demand):
+            return self._take(demand)
+        now = self._clock.now()
+        if until <= now:
+            return None
         self._numbers += 1
-        admitted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiters, _Waiter(priority, due, self._numbers, admitted))
+        waiter = _Waiter(demand, self._numbers, asyncio.get_running_loop().create_future())
+        self._waiters.append(waiter)
         try:
-            async with asyncio.timeout(max_wait):
-                return await admitted
+            async with asyncio.timeout(until - now):
+                return await waiter.admitted
         except TimeoutError:
-            return self._withdrawn(admitted)
+            return self._withdrawn(waiter)
         except asyncio.CancelledError:
-            if self._withdrawn(admitted):
-                self.leave()
+            slot = self._withdrawn(waiter)
+            if slot is not None:
+                self.leave(slot)
             raise
 
-    def leave(self) -> None:
+    def leave(self, slot: Slot) -> None:
         """Give a slot back."""
-        self.running -= 1
-        self._admit()
+        self._running.remove(slot)
+        self.admit()
+
+    def admit(self) -> None:
+        """Give free slots to those that wait, as far as they may start at this moment."""
+        while self._waiters and self.running < self._limit:
+            startable = [w for w in self._waiters if self.starts_well(w.demand)]
+            if not startable:
+                return
+            now = self._clock.now()
+            first = min(startable, key=lambda w: (self._order(w.demand, now), w.number))
+            self._waiters.remove(first)
+            if not first.admitted.done():
+                first.admitted.set_result(self._take(first.demand))
 
     def refuse_waiting(self) -> None:
         """Send away all that wait."""
@@ -104,19 +190,29 @@
         self._waiters = []
         for waiter in waiters:
             if not waiter.admitted.done():
-                waiter.admitted.set_result(False)
-
-    def _withdrawn(self, admitted: asyncio.Future[bool]) -> bool:
-        """Take a waiter out; return whether it had got a slot in the same moment."""
-        if admitted.done() and not admitted.cancelled():
-            return admitted.result()
-        admitted.cancel()
-        return False
-
-    def _admit(self) -> None:
-        while self._waiters and self.running < self._limit:
-            waiter = heapq.heappop(self._waiters)
-            if waiter.admitted.done():
-                continue
-            self.running += 1
-            waiter.admitted.set_result(True)
+                waiter.admitted.set_result(None)
+
+    def _take(self, demand: Demand) -> Slot:
+        seconds = self._speed.seconds_now(demand.work)
+        slot = Slot(self._clock.now() + seconds, seconds)
+        self._running.add(slot)
+        return slot
+
+    def _withdrawn(self, waiter: _Waiter) -> Slot | None:
+        """Take a waiter out; return the slot if it had got one in the same moment."""
+        if waiter.admitted.done() and not waiter.admitted.cancelled():
+            return waiter.admitted.result()
+        waiter.admitted.cancel()
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        return None
+
+    def _order(self, demand: Demand, now: float) -> tuple[bool, int, float]:
+        latest = demand.due - self._speed.seconds_usual(demand.work)
+        return (latest < now, demand.priority, latest)
+
+    def _next_start(self, ends: list[float]) -> float:
+        return heapq.heappop(ends) if ends else self._clock.now()
+
+    def _expected_end(self, slot: Slot, now: float) -> float:
+        return max(slot.ends, now + OVERRUN_SHARE * slot.work)
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -57,23 +57,22 @@
         self._admitted = False
 
     async def run(
-        self, *, max_wait: float, target_left: float, timeout: float
+        self, *, target_left: float, timeout: float
     ) -> tuple[AnswerHead, bytes] | Refused | Lost:
         """Return the answer, or what is known of a request without one.
 
         Parameters
         ----------
-        max_wait : float
-            Seconds that the request may wait there for a slot.
         target_left : float
             Seconds until its target latency is over.
         timeout : float
             Seconds until the answer is of no use.
         """
-        wanted = max(MIN_ADMISSION_SECONDS, ADMISSION_SHARE_OF_TARGET * target_left)
+        silence = max(MIN_ADMISSION_SECONDS, ADMISSION_SHARE_OF_TARGET * target_left)
+        silence = min(ADMISSION_SECONDS, silence)
         try:
             async with asyncio.timeout(timeout):
-                return await self._exchange(max_wait + min(ADMISSION_SECONDS, wanted))
+                return await self._exchange(silence, max(ADMISSION_SECONDS, target_left))
         except TimeoutError:
             self._connection.close()
             return self._lost(ResultCode.DEADLINE_DURING_RUN)
@@ -84,17 +83,34 @@
             self._connection.close()
             raise
 
-    async def _exchange(self, admission_timeout: float) -> tuple[AnswerHead, bytes]:
+    async def _exchange(self, silence: float, wait: float) -> tuple[AnswerHead, bytes]:
         connection = self._connection
         call = self._call
         answer = connection.send(self._first_bytes(), bodyless_answer=call.method == b"HEAD")
-        async with asyncio.timeout(admission_timeout):
-            self._admitted = await connection.go_ahead()
+        self._admitted = await self._hear(silence, wait)
         if not call.repeatable:
             connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
         head = await answer
         return head, await read_whole(connection)
 
+    async def _hear(self, silence: float, wait: float) -> bool:
+        """Return whether the request is admitted.
+
+        A node that keeps it waiting says so at once: ``silence`` bounds the wait for a node that
+        may be gone, ``wait`` that for a slot.
+        """
+        going = self._connection.go_ahead()
+        processing = self._connection.processing()
+        kept = asyncio.ensure_future(processing.wait())
+        try:
+            await asyncio.wait((going, kept), timeout=silence, return_when=asyncio.FIRST_COMPLETED)
+            if not going.done() and not kept.done():
+                raise TimeoutError
+        finally:
+            kept.cancel()
+        async with asyncio.timeout(wait):
+            return await going
+
     def _first_bytes(self) -> bytes:
         call = self._call
         headers = [*call.headers, self._hop, (b"expect", b"100-continue")]
--- a/src/hoisthook/mesh/backend_belief.py
+++ b/src/hoisthook/mesh/backend_belief.py
@@ -81,8 +81,6 @@
         self.state = BackendState.UNKNOWN
         self.instance: InstanceId | None = None
         self.slots = 0
-        self.slowdown = 1.0
-        self.load_at = -math.inf
         self.closed_until = -math.inf
         self.cold_until = -math.inf
 
@@ -131,10 +129,8 @@
         if self.state is BackendState.UNKNOWN:
             self._enter(BackendState.DRAINING)
 
-    def loaded(self, load: BackendLoad, now: float) -> None:
-        """Take in a load report."""
-        self.slowdown = load.slowdown
-        self.load_at = now
+    def loaded(self, load: BackendLoad) -> None:
+        """Take in how many slots a load report tells of."""
         if load.slots > 0:
             self.slots = load.slots
 
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hoisthook.admission.admission_policy import AdmissionPolicy
+from hoisthook.admission.admission_policy import Ruling
+from hoisthook.admission.admission_policy import Verdict
+from hoisthook.admission.demand import Demand
 from hoisthook.admission.priority_gate import PriorityGate
+from hoisthook.admission.server_speed import ServerSpeed
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh.backend_belief import BackendBelief
 from hoisthook.mesh.backend_belief import BackendState
@@ -30,6 +36,7 @@
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.admission.priority_gate import Slot
     from hoisthook.identity import Address
     from hoisthook.identity import InstanceId
     from hoisthook.measure.measure_budget import MeasureBudget
@@ -41,11 +48,9 @@
     from hoisthook.port.event_log import EventLog
 
 DRAINING_RETRY_SECONDS = 1.0
-# A load report older than this is renewed before a request is admitted by it: load shifts
-# every few hundred milliseconds, so this one still holds for most of them.
-LOAD_MAX_AGE_SECONDS = 0.1
-# Slower than this is not normal variation.
-SLOW_FACTOR = 1.7
+# How often the load is read while requests wait for a slow moment to end: the moment lasts a few
+# hundred milliseconds, so this leaves slots idle for a twentieth of it.
+HOLDING_READ_SECONDS = 0.02
 # Assumed until the first load report or announcement.
 DEFAULT_SLOTS = 4
 FAILURE_STATUS = 500
@@ -115,8 +120,11 @@
         self._log = log
         self._work = WorkTimes()
         self.belief = BackendBelief(log)
-        self.health = HealthReader(address, wire, pool, self.belief, clock, log)
-        self.gate = PriorityGate(DEFAULT_SLOTS)
+        self._speed = ServerSpeed()
+        self.health = HealthReader(address, wire, pool, self.belief, self._speed, clock, log)
+        self.gate = PriorityGate(DEFAULT_SLOTS, self._speed, clock)
+        self._policy = AdmissionPolicy(self.gate, self._speed, clock)
+        self._holding: asyncio.Task[None] | None = None
         self.leaving = False
         self.stopping = False
 
@@ -136,7 +144,7 @@
             running=self.gate.running,
             waiting=self.gate.waiting,
             limit=self.gate.limit,
-            slowdown=self.belief.slowdown,
+            slowdown=self._speed.slowdown,
             failing=self.belief.failing,
         )
 
@@ -144,9 +152,9 @@
         self,
         call: RoutedCall,
         admission: Admission,
-        max_wait: float,
         *,
         admitted: Callable[[], Awaitable[None]] | None = None,
+        waiting: Callable[[], None] | None = None,
     ) -> Outcome:
         """Run a request.
 
@@ -156,18 +164,17 @@
             What to run.
         admission : Admission
             Whether it may wait and run slowly.
-        max_wait : float
-            Seconds to wait for a slot at most.
         admitted : callable, optional
             Awaited once the request has a slot and before it is sent; completes its body.
+        waiting : callable, optional
+            Called if the request is kept waiting for a slot.
         """
-        await self._refresh_load(admission)
-        refused = self._refuse(call, admission, max_wait)
+        await self._refresh_load(call, admission)
+        refused = self._refuse(call, admission)
         if refused is None:
-            wait = max_wait if admission is Admission.QUEUE else 0.0
-            due = call.received + call.target_latency
-            if await self.gate.enter(call.priority, wait, due=due):
-                return await self._run_admitted(call, admitted)
+            slot = await self._enter(call, admission, waiting)
+            if slot is not None:
+                return await self._run_admitted(call, slot, admitted)
             refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
         self._log_refusal(call, admission, refused)
         return refused
@@ -175,8 +182,10 @@
     def close(self) -> None:
         """Stop what is under way besides requests."""
         self.health.close()
+        if self._holding is not None:
+            self._holding.cancel()
 
-    def _refuse(self, call: RoutedCall, admission: Admission, max_wait: float) -> Refused | None:
+    def _refuse(self, call: RoutedCall, admission: Admission) -> Refused | None:
         now = self._clock.now()
         belief = self.belief
         if self.stopping:
@@ -189,22 +198,43 @@
             return Refused(ResultCode.UNREACHABLE, belief.closed_until - now)
         if call.time_left(now) <= 0:
             return Refused(ResultCode.DEADLINE_PASSED, 0.0)
+        demand = self._demand(call)
         if admission is Admission.DIRECT:
-            return self._refuse_direct(call, now)
-        if self._expected_wait(call) > max_wait:
-            return Refused(ResultCode.SLOTS_FULL, self._time_to_slot(call))
-        return None
-
-    def _refuse_direct(self, call: RoutedCall, now: float) -> Refused | None:
-        if not self.gate.has_room:
-            return Refused(ResultCode.SLOTS_FULL, self._time_to_slot(call))
-        expected = self._work.usual(call) * self.belief.slowdown
-        if self.belief.slowdown >= SLOW_FACTOR and expected > call.target_left(now):
-            return Refused(ResultCode.BACKEND_SERVER_SLOW, LOAD_MAX_AGE_SECONDS)
-        return None
+            return _refusal(self._policy.start_now(demand))
+        return _refusal(self._policy.may_wait(demand))
+
+    async def _enter(
+        self, call: RoutedCall, admission: Admission, waiting: Callable[[], None] | None
+    ) -> Slot | None:
+        demand = self._demand(call)
+        if admission is Admission.DIRECT:
+            return await self.gate.enter(demand)
+        if not self.gate.has_room or not self.gate.starts_well(demand):
+            self._watch_holding()
+            if waiting is not None:
+                waiting()
+        return await self.gate.enter(demand, self._policy.waits_until(demand))
+
+    def _demand(self, call: RoutedCall) -> Demand:
+        due = call.received + call.target_latency
+        return Demand(call.priority, due, call.deadline, self._work.usual(call))
+
+    def _watch_holding(self) -> None:
+        if self._holding is None or self._holding.done():
+            self._holding = asyncio.get_running_loop().create_task(self._read_while_holding())
+
+    async def _read_while_holding(self) -> None:
+        """Renew the load while requests wait for a slow moment to end."""
+        while self.gate.waiting:
+            await asyncio.sleep(HOLDING_READ_SECONDS)
+            now = self._clock.now()
+            is_old = self._speed.moments.age(now) >= HOLDING_READ_SECONDS
+            if self.gate.is_holding and is_old and self._budget.take(now):
+                await self._read_load()
+            self.gate.admit()
 
     async def _run_admitted(
-        self, call: RoutedCall, admitted: Callable[[], Awaitable[None]] | None
+        self, call: RoutedCall, slot: Slot, admitted: Callable[[], Awaitable[None]] | None
     ) -> Outcome:
         try:
             if admitted is not None:
@@ -214,7 +244,7 @@
                 return connection
             return await self._exchange(call, connection)
         finally:
-            self.gate.leave()
+            self.gate.leave(slot)
 
     async def _connect(self, call: RoutedCall) -> ClientConnection | Refused:
         connection = self._pool.take_idle(self._address)
@@ -229,7 +259,7 @@
     async def _exchange(self, call: RoutedCall, connection: ClientConnection) -> Outcome:
         started = self._clock.now()
         reused = connection.exchanges > 0
-        slowdown = self.belief.slowdown
+        slowdown = self._speed.slowdown
         instance = self.belief.instance
         time_left = call.time_left(started)
         if time_left <= 0:
@@ -255,6 +285,7 @@
         head, body = answered
         outcome = self._read_answer(call, head, body)
         if isinstance(outcome, WholeAnswer) and outcome.status < FAILURE_STATUS:
+            self._speed.finished(self._work.usual(call), took, slowdown)
             self._work.learn(call, took, slowdown)
         return outcome
 
@@ -282,7 +313,8 @@
     def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
         reading = self._wire.read(head)
         if reading.load is not None:
-            self.belief.loaded(reading.load, self._clock.now())
+            self.belief.loaded(reading.load)
+            self._speed.moments.reported(reading.load.slowdown, self._clock.now())
             self._adapt()
         match reading.kind:
             case AnswerKind.OTHER_INSTANCE:
@@ -301,19 +333,19 @@
                 self.belief.answered(failed=head.status >= FAILURE_STATUS)
                 return WholeAnswer(head.status, reading.headers, body)
 
-    async def _refresh_load(self, admission: Admission) -> None:
-        if self._should_read_health(admission, self._clock.now()):
-            await self.health.read()
-            self._adapt()
+    async def _refresh_load(self, call: RoutedCall, admission: Admission) -> None:
+        if self._should_read_health(call, admission, self._clock.now()):
+            await self._read_load()
+
+    async def _read_load(self) -> None:
+        await self.health.read()
+        self._adapt()
 
-    def _should_read_health(self, admission: Admission, now: float) -> bool:
+    def _should_read_health(self, call: RoutedCall, admission: Admission, now: float) -> bool:
         belief = self.belief
         if belief.state is BackendState.UNKNOWN:
             return True
-        # What may wait or run slowly is not judged by the load.
-        if admission is Admission.QUEUE or not belief.takes_work:
-            return False
-        if now - belief.load_at <= LOAD_MAX_AGE_SECONDS:
+        if not belief.takes_work or not self._policy.is_read_worthwhile(self._demand(call)):
             return False
         return self.health.is_reading or self._budget.take(now)
 
@@ -324,15 +356,10 @@
             self.gate.set_limit(limit)
         if not self.belief.takes_work:
             self.gate.refuse_waiting()
-
-    def _expected_wait(self, call: RoutedCall) -> float:
-        if self.gate.has_room:
-            return 0.0
-        ahead = self.gate.waiting_before(call.priority) + 1
-        return ahead * self._work.usual(call) * self.belief.slowdown / self.gate.limit
+        self.gate.admit()
 
     def _time_to_slot(self, call: RoutedCall) -> float:
-        return max(MIN_RETRY_AFTER_SECONDS, self._expected_wait(call))
+        return self._policy.time_to_start(self._demand(call))
 
     def _log_refusal(self, call: RoutedCall, admission: Admission, refused: Refused) -> None:
         now = self._clock.now()
@@ -344,7 +371,18 @@
             running=self.gate.running,
             waiting=self.gate.waiting,
             limit=self.gate.limit,
-            slowdown=self.belief.slowdown,
-            load_age_ms=round((now - self.belief.load_at) * 1000.0, 1),
+            slowdown=self._speed.slowdown,
+            pace=round(self._speed.pace, 2),
+            load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
             state=self.belief.state.value,
         )
+
+
+def _refusal(ruling: Ruling) -> Refused | None:
+    match ruling.verdict:
+        case Verdict.ADMIT:
+            return None
+        case Verdict.FULL:
+            return Refused(ResultCode.SLOTS_FULL, ruling.retry_after)
+        case Verdict.SLOW:
+            return Refused(ResultCode.BACKEND_SERVER_SLOW, ruling.retry_after)
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.admission.server_speed import ServerSpeed
     from hoisthook.identity import Address
     from hoisthook.mesh.backend_belief import BackendBelief
     from hoisthook.port.backend_wire import BackendWire
@@ -39,7 +40,9 @@
     pool : ClientPool
         Connections to it.
     belief : BackendBelief
-        Gets what is read.
+        Gets the state that is read.
+    speed : ServerSpeed
+        Gets the load that is read.
     clock : Clock
         Monotonic.
     log : EventLog
@@ -52,6 +55,7 @@
         wire: BackendWire,
         pool: ClientPool,
         belief: BackendBelief,
+        speed: ServerSpeed,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -59,6 +63,7 @@
         self._wire = wire
         self._pool = pool
         self._belief = belief
+        self._speed = speed
         self._clock = clock
         self._log = log
         self._reading: asyncio.Task[None] | None = None
@@ -108,4 +113,5 @@
         elif reading.instance is not None:
             self._belief.answered_as(reading.instance)
         if reading.load is not None:
-            self._belief.loaded(reading.load, self._clock.now())
+            self._belief.loaded(reading.load)
+            self._speed.moments.reported(reading.load.slowdown, self._clock.now())
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -13,7 +13,7 @@
 LOAD = b"hoisthook-load"
 RESULT = b"hoisthook-result"
 RETRY_AFTER_MS = b"hoisthook-retry-after-ms"
-FIELDS = 10
+FIELDS = 9
 MILLIS = 1000.0
 
 
@@ -49,8 +49,6 @@
         Until its deadline.
     target_left : float
         Until its target latency is over.
-    max_wait : float
-        How long it may wait for a slot.
     configuration : int
         Version in force at the sender.
     """
@@ -63,7 +61,6 @@
     priority: int
     time_left: float
     target_left: float
-    max_wait: float
     configuration: int
 
     def encode(self) -> bytes:
@@ -77,7 +74,6 @@
             str(self.priority),
             str(round(self.time_left * MILLIS)),
             str(round(self.target_left * MILLIS)),
-            str(round(self.max_wait * MILLIS)),
             str(self.configuration),
         )
         return " ".join(parts).encode("latin-1")
@@ -98,8 +94,7 @@
                 priority=int(parts[5]),
                 time_left=int(parts[6]) / MILLIS,
                 target_left=int(parts[7]) / MILLIS,
-                max_wait=int(parts[8]) / MILLIS,
-                configuration=int(parts[9]),
+                configuration=int(parts[8]),
             )
         except ValueError:
             return None
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -91,7 +91,9 @@
             if held_back:
                 call.body = await exchange.body.read_all(piece_timeout=PIECE_SECONDS)
 
-        outcome = await self._beside.run(call, header.admission, header.max_wait, admitted=admitted)
+        outcome = await self._beside.run(
+            call, header.admission, admitted=admitted, waiting=exchange.processing
+        )
         self._answer(exchange, outcome)
 
     def _answer(self, exchange: ServerExchange, outcome: Outcome) -> None:
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -80,26 +80,22 @@
         self._clock = clock
         self._log = log
 
-    async def run(
-        self, view: PeerView, call: RoutedCall, admission: Admission, max_wait: float
-    ) -> Outcome:
+    async def run(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
         """Run the request there and learn from what comes back."""
         view.sent()
         try:
             if view.is_self:
-                outcome = await self._beside.run(call, admission, max_wait)
+                outcome = await self._beside.run(call, admission)
                 view.reported(self._beside.load(), self._clock.now())
             else:
-                outcome = await self._run_remote(view, call, admission, max_wait)
+                outcome = await self._run_remote(view, call, admission)
         finally:
             view.ended()
         if isinstance(outcome, Refused) and outcome.code in _CLOSING_CODES:
             view.close_until(self._clock.now() + outcome.retry_after)
         return outcome
 
-    async def _run_remote(
-        self, view: PeerView, call: RoutedCall, admission: Admission, max_wait: float
-    ) -> Outcome:
+    async def _run_remote(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
         connection = await self._connect(view)
         if isinstance(connection, Refused):
             return connection
@@ -113,13 +109,10 @@
             priority=call.priority,
             time_left=call.time_left(now),
             target_left=call.target_left(now),
-            max_wait=max_wait,
             configuration=self._sync.version,
         )
         exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
-        answered = await exchange.run(
-            max_wait=max_wait, target_left=header.target_left, timeout=header.time_left
-        )
+        answered = await exchange.run(target_left=header.target_left, timeout=header.time_left)
         if isinstance(answered, Lost | Refused):
             self._note_lost(view, call, answered)
             return answered
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -28,13 +28,6 @@
 # Nodes asked whether they can start a request at once; each costs a way there and back.
 MAX_DIRECT_TRIES = 4
 MAX_QUEUE_TRIES = 2
-# A request may wait for a slot until this share of its target latency has passed since it
-# came. Later than that, a refusal serves its caller better than the wait.
-WAIT_SHARE_OF_TARGET = 0.22
-# But at least this, about the time in which a full backend server frees a slot at a slow moment.
-# Calls with short targets are mostly those on which a longer request waits: refusing one wastes
-# all the work of that request.
-MIN_WAIT_SECONDS = 0.05
 NO_BACKEND_SERVER_RETRY_SECONDS = 0.3
 MIN_RETRY_AFTER_SECONDS = 0.05
 # Share of the budget that tries made here may use. The calls of a request that runs again count
@@ -191,7 +184,7 @@
     ) -> Outcome:
         progress.tries += 1
         progress.node = view.peer.node
-        return await self._hop.run(view, call, admission, self._max_wait(call))
+        return await self._hop.run(view, call, admission)
 
     def _goes_on(
         self, view: PeerView, call: RoutedCall, outcome: Outcome, progress: _Progress
@@ -246,11 +239,6 @@
             return Refused(ResultCode.NO_BACKEND_SERVER, NO_BACKEND_SERVER_RETRY_SECONDS)
         return Refused(progress.code, max(MIN_RETRY_AFTER_SECONDS, progress.soonest))
 
-    def _max_wait(self, call: RoutedCall) -> float:
-        waited = self._clock.now() - call.received
-        wait = max(MIN_WAIT_SECONDS, WAIT_SHARE_OF_TARGET * call.target_latency)
-        return max(0.0, wait - waited)
-
     def _budget(self, service: ServiceName) -> WindowedRetryBudget:
         ratio = OWN_SHARE_OF_BUDGET * self._settings.ratio
         extra = OWN_SHARE_OF_BUDGET * self._settings.extra / max(1, len(self._directory))
--- a/tests/admission/test_priority_gate.py
+++ b/tests/admission/test_priority_gate.py
@@ -4,82 +4,133 @@
 
 import pytest
 
+from hoisthook.admission.demand import Demand
 from hoisthook.admission.priority_gate import PriorityGate
+from hoisthook.admission.priority_gate import Slot
+from hoisthook.admission.server_speed import ServerSpeed
+from tests.fakes import FakeClock
 
+NOW = 1000.0
+LONG = NOW + 5.0
 
-async def entered(gate: PriorityGate, priority: int, order: list[int]) -> None:
-    if await gate.enter(priority, 5.0):
-        order.append(priority)
+
+def demand(priority: int = 0, due: float = NOW + 100.0, work: float = 0.1) -> Demand:
+    return Demand(priority, due, due + 100.0, work)
+
+
+def gate_of(limit: int) -> PriorityGate:
+    return PriorityGate(limit, ServerSpeed(), FakeClock(NOW))
+
+
+async def taken(gate: PriorityGate) -> Slot:
+    slot = await gate.enter(demand())
+    assert slot is not None
+    return slot
+
+
+async def entered(
+    gate: PriorityGate, wanted: Demand, order: list[Demand], slots: list[Slot]
+) -> None:
+    slot = await gate.enter(wanted, LONG)
+    if slot is not None:
+        order.append(wanted)
+        slots.append(slot)
 
 
 async def test_most_urgent_waiter_gets_the_slot_first() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(1, 0.0)
-    order: list[int] = []
-    waiting = [asyncio.create_task(entered(gate, p, order)) for p in (2, 0, 1, 0)]
+    gate = gate_of(1)
+    slots = [await taken(gate)]
+    order: list[Demand] = []
+    waiting = [asyncio.create_task(entered(gate, demand(p), order, slots)) for p in (2, 0, 1, 0)]
     await asyncio.sleep(0)
     assert gate.waiting == 4
-    assert gate.waiting_before(1) == 3
+    assert gate.waiting_before(demand(1)) == 3
     for _ in range(4):
-        gate.leave()
+        gate.leave(slots.pop())
         await asyncio.sleep(0)
     await asyncio.gather(*waiting)
-    assert order == [0, 0, 1, 2]
+    assert [wanted.priority for wanted in order] == [0, 0, 1, 2]
 
 
 async def test_within_a_priority_the_one_due_first_goes_first() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    order: list[float] = []
+    gate = gate_of(1)
+    slots = [await taken(gate)]
+    order: list[Demand] = []
+    waiting = [
+        asyncio.create_task(entered(gate, demand(1, NOW + due), order, slots))
+        for due in (3.0, 1.0, 2.0)
+    ]
+    await asyncio.sleep(0)
+    for _ in range(3):
+        gate.leave(slots.pop())
+        await asyncio.sleep(0)
+    await asyncio.gather(*waiting)
+    assert [wanted.due - NOW for wanted in order] == [1.0, 2.0, 3.0]
 
-    async def wait(due: float) -> None:
-        if await gate.enter(1, 5.0, due=due):
-            order.append(due)
 
-    waiting = [asyncio.create_task(wait(due)) for due in (3.0, 1.0, 2.0)]
+async def test_within_a_priority_the_one_that_must_start_first_goes_first() -> None:
+    gate = gate_of(1)
+    slots = [await taken(gate)]
+    order: list[Demand] = []
+    short, long = demand(due=NOW + 1.0, work=0.1), demand(due=NOW + 1.2, work=0.9)
+    waiting = [asyncio.create_task(entered(gate, d, order, slots)) for d in (short, long)]
     await asyncio.sleep(0)
-    for _ in range(3):
-        gate.leave()
+    for _ in range(2):
+        gate.leave(slots.pop())
+        await asyncio.sleep(0)
+    await asyncio.gather(*waiting)
+    assert order == [long, short]
+
+
+async def test_one_that_will_be_late_anyway_lets_those_pass_that_can_be_in_time() -> None:
+    gate = gate_of(1)
+    slots = [await taken(gate)]
+    order: list[Demand] = []
+    late, in_time = demand(0, due=NOW + 0.05), demand(1, due=NOW + 0.2)
+    waiting = [asyncio.create_task(entered(gate, d, order, slots)) for d in (late, in_time)]
+    await asyncio.sleep(0)
+    for _ in range(2):
+        gate.leave(slots.pop())
         await asyncio.sleep(0)
     await asyncio.gather(*waiting)
-    assert order == [1.0, 2.0, 3.0]
+    assert order == [in_time, late]
 
 
 async def test_no_wait_is_refused_at_once() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    assert not await gate.enter(0, 0.0)
+    gate = gate_of(1)
+    await taken(gate)
+    assert await gate.enter(demand()) is None
     assert gate.running == 1
 
 
 async def test_wait_ends_in_time_and_leaves_nothing_behind() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    assert not await gate.enter(0, 0.01)
+    gate = gate_of(1)
+    slot = await taken(gate)
+    assert await gate.enter(demand(), NOW + 0.01) is None
     assert gate.waiting == 0
-    gate.leave()
+    gate.leave(slot)
     assert gate.running == 0
 
 
 async def test_cancelled_waiter_takes_no_slot() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    waiting = asyncio.create_task(gate.enter(0, 5.0))
+    gate = gate_of(1)
+    slot = await taken(gate)
+    waiting = asyncio.create_task(gate.enter(demand(), LONG))
     await asyncio.sleep(0)
     waiting.cancel()
     with pytest.raises(asyncio.CancelledError):
         await waiting
-    gate.leave()
+    gate.leave(slot)
     assert gate.running == 0
     assert gate.has_room
 
 
 async def test_waiter_cancelled_in_the_moment_of_its_admission_gives_the_slot_back() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    waiting = asyncio.create_task(gate.enter(0, 5.0))
+    gate = gate_of(1)
+    slot = await taken(gate)
+    waiting = asyncio.create_task(gate.enter(demand(), LONG))
     await asyncio.sleep(0)
-    gate.leave()
+    gate.leave(slot)
     waiting.cancel()
     with pytest.raises(asyncio.CancelledError):
         await waiting
@@ -87,24 +138,24 @@
 
 
 async def test_refusing_sends_all_waiters_away() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    waiting = [asyncio.create_task(gate.enter(0, 5.0)) for _ in range(3)]
+    gate = gate_of(1)
+    slot = await taken(gate)
+    waiting = [asyncio.create_task(gate.enter(demand(), LONG)) for _ in range(3)]
     await asyncio.sleep(0)
     gate.refuse_waiting()
-    assert await asyncio.gather(*waiting) == [False, False, False]
-    gate.leave()
+    assert await asyncio.gather(*waiting) == [None, None, None]
+    gate.leave(slot)
     assert gate.running == 0
 
 
 async def test_raised_limit_admits_waiters_and_lowered_leaves_the_running_alone() -> None:
-    gate = PriorityGate(1)
-    assert await gate.enter(0, 0.0)
-    waiting = asyncio.create_task(gate.enter(0, 5.0))
+    gate = gate_of(1)
+    slot = await taken(gate)
+    waiting = asyncio.create_task(gate.enter(demand(), LONG))
     await asyncio.sleep(0)
     gate.set_limit(2)
-    assert await waiting
+    assert await waiting is not None
     gate.set_limit(1)
     assert gate.running == 2
-    gate.leave()
+    gate.leave(slot)
     assert not gate.has_room
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hoisthook.admission.demand import Demand
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
 from hoisthook.identity import ServiceName
@@ -176,7 +177,7 @@
     writer.write(
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
         b"transfer-encoding: chunked\r\n"
-        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 0\r\n\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0\r\n\r\n"
     )
     assert (await reader.readline()).split()[1] == b"100"
     writer.transport.abort()
@@ -198,7 +199,7 @@
     writer.write(
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
         b"transfer-encoding: chunked\r\n"
-        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 0\r\n\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0\r\n\r\n"
     )
     assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
     assert await reader.read() == b""
@@ -209,18 +210,19 @@
 
 async def test_connection_of_a_refused_request_carries_the_next_one(system: MeshSystem) -> None:
     server = await system.add("shop", slots=1)
-    server.node.link.gate.running = 1
+    slot = await server.node.link.gate.enter(Demand(0, 1e9, 1e9, 0.1))
+    assert slot is not None
     reader, writer = await asyncio.open_connection(*server.node.peers_address)
     head = (
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
         b"transfer-encoding: chunked\r\n"
-        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 0\r\n\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0\r\n\r\n"
     )
     writer.write(head)
     refusal = await reader.readuntil(b"\r\n\r\n")
     assert refusal.split()[1] == b"503"
     assert b"connection: close" not in refusal
-    server.node.link.gate.leave()
+    server.node.link.gate.leave(slot)
     writer.write(b"0\r\n\r\n" + head)
     assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
     writer.write(b"1\r\n5\r\n0\r\n\r\n")
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -84,7 +84,7 @@
     system: MeshSystem,
 ) -> None:
     entry, first, second = await shops(system, 2)
-    system.publish(2, RouteOptions("shop", target=10.0, timeout=20.0))
+    system.publish(2, RouteOptions("shop", target=2.0, timeout=20.0))
     await system.until_configured(2)
     for machine in (first, second):
         machine.backend.work_seconds = 0.3
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -89,17 +89,24 @@
 
 
 async def test_request_with_a_short_target_waits_until_a_slot_is_free(
-    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+    system: MeshSystem,
 ) -> None:
-    monkeypatch.setattr("hoisthook.mesh.routed_dispatcher.MIN_WAIT_SECONDS", 5.0)
     entry = await system.add("front")
     server = await system.add("shop", slots=1)
     system.introduce_all()
-    system.publish(1, RouteOptions("shop", target=0.02))
+    system.publish(
+        1,
+        RouteOptions("shop", target=0.02),
+        RouteOptions("shop", prefix="/long/", target=1.0),
+    )
     await system.until_configured(1)
-    server.backend.work_seconds = 0.05
-    answers = await asyncio.gather(*(system.call(entry) for _ in range(4)))
-    assert [status for status, _, _ in answers] == [200] * 4
+    server.backend.work_seconds = 0.2
+    long = asyncio.create_task(system.call(entry, path="/long/x"))
+    async with asyncio.timeout(10.0):
+        while not server.backend.running:
+            await asyncio.sleep(0.001)
+    assert (await system.call(entry))[0] == 200
+    assert (await long)[0] == 200
 
 
 @pytest.mark.parametrize(
