--- /dev/null
+++ b/src/hoisthook/admission/admitter.py
@@ -0,0 +1,199 @@
+"""Admission to one backend server: the decisions, and the reads of its load that they need."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from hoisthook.admission.admission_policy import AdmissionPolicy
+from hoisthook.admission.demand import Demand
+from hoisthook.admission.priority_gate import PriorityGate
+from hoisthook.admission.work_times import WorkTimes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.admission.admission_policy import Ruling
+    from hoisthook.admission.priority_gate import Slot
+    from hoisthook.admission.server_speed import ServerSpeed
+    from hoisthook.identity import RouteName
+    from hoisthook.measure.measure_budget import MeasureBudget
+    from hoisthook.port.clock import Clock
+
+# Assumed until the first load report or announcement.
+DEFAULT_SLOTS = 4
+# How often the load is read while requests wait for a slow moment to end: the moment lasts a few
+# hundred milliseconds, so this leaves slots idle for a twentieth of it.
+HOLDING_READ_SECONDS = 0.02
+
+
+class LoadReader(Protocol):
+    """Reads the load of the backend server into the speed that the admitter goes by."""
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a read is under way."""
+
+    async def read(self) -> None:
+        """Read once, or wait for the read under way."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stay:
+    """A request that runs at the backend server.
+
+    Attributes
+    ----------
+    slot : Slot
+        What it holds.
+    route : RouteName
+        By which its usual duration is learned.
+    work : float
+        Seconds that it was to take where nothing slows it.
+    slowdown : float
+        What the last report said at its start.
+    """
+
+    slot: Slot
+    route: RouteName
+    work: float
+    slowdown: float
+
+
+class Admitter:
+    """Slots, waiting and speed of one backend server.
+
+    Parameters
+    ----------
+    speed : ServerSpeed
+        What its reports and answers tell.
+    reader : LoadReader
+        Renews the reports.
+    budget : MeasureBudget
+        Bounds the reads.
+    usable_share : float
+        Share of its slots that is used.
+    clock : Clock
+        Monotonic, the loop's own.
+    """
+
+    def __init__(
+        self,
+        speed: ServerSpeed,
+        reader: LoadReader,
+        budget: MeasureBudget,
+        usable_share: float,
+        clock: Clock,
+    ) -> None:
+        self._reader = reader
+        self._budget = budget
+        self._usable_share = usable_share
+        self._clock = clock
+        self._work = WorkTimes()
+        self._holding: asyncio.Task[None] | None = None
+        self.speed = speed
+        self.gate = PriorityGate(DEFAULT_SLOTS, speed, clock)
+        self.policy = AdmissionPolicy(self.gate, speed, clock)
+
+    def close(self) -> None:
+        """Stop reading while requests wait."""
+        if self._holding is not None:
+            self._holding.cancel()
+
+    def demand(
+        self, route: RouteName, priority: int, *, received: float, target: float, deadline: float
+    ) -> Demand:
+        """Return what a request asks for.
+
+        Parameters
+        ----------
+        route : RouteName
+            By which its usual duration is known.
+        priority : int
+            Rank.
+        received : float
+            When it was taken up.
+        target : float
+            Seconds from then within which its answer has its full worth.
+        deadline : float
+            When its answer is of no use any more.
+        """
+        work = self._work.usual(route, target)
+        return Demand(priority, received + target, deadline, work)
+
+    async def renew(self, demand: Demand) -> None:
+        """Read the load if that could change what is decided about a request."""
+        if self.policy.is_read_worthwhile(demand) and self._may_read():
+            await self.read()
+
+    async def read(self) -> None:
+        """Read the load whatever is known of it."""
+        await self._reader.read()
+        self.gate.admit()
+
+    def rule(self, demand: Demand, *, may_wait: bool) -> Ruling:
+        """Rule on a request."""
+        return self.policy.may_wait(demand) if may_wait else self.policy.start_now(demand)
+
+    async def enter(
+        self,
+        route: RouteName,
+        demand: Demand,
+        *,
+        may_wait: bool,
+        waiting: Callable[[], None] | None = None,
+    ) -> Stay | None:
+        """Take a slot for a request that was not turned away; None if it got none.
+
+        Parameters
+        ----------
+        route : RouteName
+            Of the request.
+        demand : Demand
+            What it asks for.
+        may_wait : bool
+            Whether it is kept waiting.
+        waiting : callable, optional
+            Called if it is.
+        """
+        until = self.policy.waits_until(demand) if may_wait else self._clock.now()
+        if may_wait and not (self.gate.has_room and self.gate.starts_well(demand)):
+            self._read_while_holding()
+            if waiting is not None:
+                waiting()
+        slot = await self.gate.enter(demand, until)
+        return None if slot is None else Stay(slot, route, demand.work, self.speed.slowdown)
+
+    def leave(self, stay: Stay) -> None:
+        """Give a request's slot back."""
+        self.gate.leave(stay.slot)
+
+    def worked(self, stay: Stay, seconds: float) -> None:
+        """Learn from a request that ran to its end."""
+        self.speed.finished(stay.work, seconds, stay.slowdown)
+        self._work.learn(stay.route, seconds, stay.slowdown)
+
+    def has_slots(self, slots: int) -> None:
+        """Take in how many requests the backend server can run at once; 0 if not known."""
+        limit = max(1, int((slots or DEFAULT_SLOTS) * self._usable_share))
+        if limit != self.gate.limit:
+            self.gate.set_limit(limit)
+
+    def _may_read(self) -> bool:
+        return self._reader.is_reading or self._budget.take(self._clock.now())
+
+    def _read_while_holding(self) -> None:
+        if self._holding is None or self._holding.done():
+            self._holding = asyncio.get_running_loop().create_task(self._renew_while_holding())
+
+    async def _renew_while_holding(self) -> None:
+        """Renew the load while requests wait for a slow moment to end."""
+        await asyncio.sleep(HOLDING_READ_SECONDS)
+        while self.gate.waiting:
+            is_old = self.speed.moments.age(self._clock.now()) >= HOLDING_READ_SECONDS
+            if self.gate.is_holding and is_old and self._may_read():
+                await self.read()
+            self.gate.admit()
+            await asyncio.sleep(HOLDING_READ_SECONDS)
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hoisthook.admission.admission_policy import AdmissionPolicy
-from hoisthook.admission.admission_policy import Ruling
 from hoisthook.admission.admission_policy import Verdict
-from hoisthook.admission.demand import Demand
-from hoisthook.admission.priority_gate import PriorityGate
+from hoisthook.admission.admitter import Admitter
 from hoisthook.admission.server_speed import ServerSpeed
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh.backend_belief import BackendBelief
@@ -22,7 +18,6 @@
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import WholeAnswer
 from hoisthook.mesh.whole_exchange import exchange_whole
-from hoisthook.mesh.work_times import WorkTimes
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.port.backend_wire import AnswerKind
@@ -36,7 +31,10 @@
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.message import AnswerHead
-    from hoisthook.admission.priority_gate import Slot
+    from hoisthook.admission.admission_policy import Ruling
+    from hoisthook.admission.admitter import Stay
+    from hoisthook.admission.demand import Demand
+    from hoisthook.admission.priority_gate import PriorityGate
     from hoisthook.identity import Address
     from hoisthook.identity import InstanceId
     from hoisthook.measure.measure_budget import MeasureBudget
@@ -48,11 +46,6 @@
     from hoisthook.port.event_log import EventLog
 
 DRAINING_RETRY_SECONDS = 1.0
-# How often the load is read while requests wait for a slow moment to end: the moment lasts a few
-# hundred milliseconds, so this leaves slots idle for a twentieth of it.
-HOLDING_READ_SECONDS = 0.02
-# Assumed until the first load report or announcement.
-DEFAULT_SLOTS = 4
 FAILURE_STATUS = 500
 # A request whose connection drops within this share of its usual work time was not worked on.
 DROPPED_SHARE_OF_WORK = 0.1
@@ -115,19 +108,19 @@
         self._wire = wire
         self._pool = pool
         self._clock = clock
-        self._budget = budget
-        self._settings = settings
         self._log = log
-        self._work = WorkTimes()
-        self.belief = BackendBelief(log)
         self._speed = ServerSpeed()
+        self.belief = BackendBelief(log)
         self.health = HealthReader(address, wire, pool, self.belief, self._speed, clock, log)
-        self.gate = PriorityGate(DEFAULT_SLOTS, self._speed, clock)
-        self._policy = AdmissionPolicy(self.gate, self._speed, clock)
-        self._holding: asyncio.Task[None] | None = None
+        self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.leaving = False
         self.stopping = False
 
+    @property
+    def gate(self) -> PriorityGate:
+        """Return the slots of the backend server."""
+        return self._admitter.gate
+
     def announced(self, announcement: Announcement) -> None:
         """Take in an announcement of the backend server."""
         self.belief.announced(announcement, self._clock.now())
@@ -169,12 +162,20 @@
         waiting : callable, optional
             Called if the request is kept waiting for a slot.
         """
-        await self._refresh_load(call, admission)
-        refused = self._refuse(call, admission)
+        demand = self._demand(call)
+        if self.belief.state is BackendState.UNKNOWN:
+            await self._admitter.read()
+            self._adapt()
+        elif self.belief.takes_work:
+            await self._admitter.renew(demand)
+        may_wait = admission is Admission.QUEUE
+        refused = self._refuse(call, demand, may_wait=may_wait)
         if refused is None:
-            slot = await self._enter(call, admission, waiting)
-            if slot is not None:
-                return await self._run_admitted(call, slot, admitted)
+            stay = await self._admitter.enter(
+                call.route, demand, may_wait=may_wait, waiting=waiting
+            )
+            if stay is not None:
+                return await self._run_admitted(call, stay, admitted)
             refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
         self._log_refusal(call, admission, refused)
         return refused
@@ -182,15 +183,14 @@
     def close(self) -> None:
         """Stop what is under way besides requests."""
         self.health.close()
-        if self._holding is not None:
-            self._holding.cancel()
+        self._admitter.close()
 
-    def _refuse(self, call: RoutedCall, admission: Admission) -> Refused | None:
+    def _refuse(self, call: RoutedCall, demand: Demand, *, may_wait: bool) -> Refused | None:
         now = self._clock.now()
         belief = self.belief
         if self.stopping:
             return Refused(ResultCode.NODE_STOPPING, DRAINING_RETRY_SECONDS)
-        if self.leaving and admission is Admission.DIRECT:
+        if self.leaving and not may_wait:
             return Refused(ResultCode.NODE_LEAVING, MIN_RETRY_AFTER_SECONDS)
         if not belief.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
@@ -198,43 +198,19 @@
             return Refused(ResultCode.UNREACHABLE, belief.closed_until - now)
         if call.time_left(now) <= 0:
             return Refused(ResultCode.DEADLINE_PASSED, 0.0)
-        demand = self._demand(call)
-        if admission is Admission.DIRECT:
-            return _refusal(self._policy.start_now(demand))
-        return _refusal(self._policy.may_wait(demand))
-
-    async def _enter(
-        self, call: RoutedCall, admission: Admission, waiting: Callable[[], None] | None
-    ) -> Slot | None:
-        demand = self._demand(call)
-        if admission is Admission.DIRECT:
-            return await self.gate.enter(demand)
-        if not self.gate.has_room or not self.gate.starts_well(demand):
-            self._watch_holding()
-            if waiting is not None:
-                waiting()
-        return await self.gate.enter(demand, self._policy.waits_until(demand))
+        return _refusal(self._admitter.rule(demand, may_wait=may_wait))
 
     def _demand(self, call: RoutedCall) -> Demand:
-        due = call.received + call.target_latency
-        return Demand(call.priority, due, call.deadline, self._work.usual(call))
-
-    def _watch_holding(self) -> None:
-        if self._holding is None or self._holding.done():
-            self._holding = asyncio.get_running_loop().create_task(self._read_while_holding())
-
-    async def _read_while_holding(self) -> None:
-        """Renew the load while requests wait for a slow moment to end."""
-        while self.gate.waiting:
-            await asyncio.sleep(HOLDING_READ_SECONDS)
-            now = self._clock.now()
-            is_old = self._speed.moments.age(now) >= HOLDING_READ_SECONDS
-            if self.gate.is_holding and is_old and self._budget.take(now):
-                await self._read_load()
-            self.gate.admit()
+        return self._admitter.demand(
+            call.route,
+            call.priority,
+            received=call.received,
+            target=call.target_latency,
+            deadline=call.deadline,
+        )
 
     async def _run_admitted(
-        self, call: RoutedCall, slot: Slot, admitted: Callable[[], Awaitable[None]] | None
+        self, call: RoutedCall, stay: Stay, admitted: Callable[[], Awaitable[None]] | None
     ) -> Outcome:
         try:
             if admitted is not None:
@@ -242,9 +218,9 @@
             connection = await self._connect(call)
             if isinstance(connection, Refused):
                 return connection
-            return await self._exchange(call, connection)
+            return await self._exchange(call, stay, connection)
         finally:
-            self.gate.leave(slot)
+            self._admitter.leave(stay)
 
     async def _connect(self, call: RoutedCall) -> ClientConnection | Refused:
         connection = self._pool.take_idle(self._address)
@@ -256,10 +232,11 @@
             self.belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
             return Refused(ResultCode.UNREACHABLE, UNREACHABLE_SECONDS)
 
-    async def _exchange(self, call: RoutedCall, connection: ClientConnection) -> Outcome:
+    async def _exchange(
+        self, call: RoutedCall, stay: Stay, connection: ClientConnection
+    ) -> Outcome:
         started = self._clock.now()
         reused = connection.exchanges > 0
-        slowdown = self._speed.slowdown
         instance = self.belief.instance
         time_left = call.time_left(started)
         if time_left <= 0:
@@ -279,18 +256,19 @@
         )
         took = self._clock.now() - started
         if isinstance(answered, Lost):
-            self._note_lost(call, answered, took, reused=reused)
+            self._note_lost(call, stay, answered, took, reused=reused)
             return answered
         self._pool.keep(self._address, connection)
         head, body = answered
         outcome = self._read_answer(call, head, body)
         if isinstance(outcome, WholeAnswer) and outcome.status < FAILURE_STATUS:
-            self._speed.finished(self._work.usual(call), took, slowdown)
-            self._work.learn(call, took, slowdown)
+            self._admitter.worked(stay, took)
         return outcome
 
-    def _note_lost(self, call: RoutedCall, lost: Lost, took: float, *, reused: bool) -> None:
-        at_once = took < DROPPED_SHARE_OF_WORK * self._work.usual(call)
+    def _note_lost(
+        self, call: RoutedCall, stay: Stay, lost: Lost, took: float, *, reused: bool
+    ) -> None:
+        at_once = took < DROPPED_SHARE_OF_WORK * stay.work
         if lost.code is not ResultCode.DEADLINE_DURING_RUN:
             self._note_broken(at_once=at_once, reused=reused)
         self._log.decision(
@@ -333,33 +311,14 @@
                 self.belief.answered(failed=head.status >= FAILURE_STATUS)
                 return WholeAnswer(head.status, reading.headers, body)
 
-    async def _refresh_load(self, call: RoutedCall, admission: Admission) -> None:
-        if self._should_read_health(call, admission, self._clock.now()):
-            await self._read_load()
-
-    async def _read_load(self) -> None:
-        await self.health.read()
-        self._adapt()
-
-    def _should_read_health(self, call: RoutedCall, admission: Admission, now: float) -> bool:
-        belief = self.belief
-        if belief.state is BackendState.UNKNOWN:
-            return True
-        if not belief.takes_work or not self._policy.is_read_worthwhile(self._demand(call)):
-            return False
-        return self.health.is_reading or self._budget.take(now)
-
     def _adapt(self) -> None:
-        slots = self.belief.slots or DEFAULT_SLOTS
-        limit = max(1, int(slots * self._settings.usable_share))
-        if limit != self.gate.limit:
-            self.gate.set_limit(limit)
+        self._admitter.has_slots(self.belief.slots)
         if not self.belief.takes_work:
             self.gate.refuse_waiting()
         self.gate.admit()
 
     def _time_to_slot(self, call: RoutedCall) -> float:
-        return self._policy.time_to_start(self._demand(call))
+        return self._admitter.policy.time_to_start(self._demand(call))
 
     def _log_refusal(self, call: RoutedCall, admission: Admission, refused: Refused) -> None:
         now = self._clock.now()
--- a/src/hoisthook/mesh/peer_choice.py
+++ b/src/hoisthook/mesh/peer_choice.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.admission.slow_moments import SLOW_FACTOR
-from hoisthook.mesh.work_times import WORK_SHARE_OF_TARGET
+from hoisthook.admission.work_times import WORK_SHARE_OF_TARGET
 
 if TYPE_CHECKING:
     from collections.abc import Collection
