--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -19,6 +19,8 @@
 # A report of a slow moment turns requests away for nothing once it is wrong; they go elsewhere
 # at the price of a hop, so it may be wrong more often before a read is worth its cost.
 MAX_STALE_SLOW_CHANCE = 0.3
+# Slow moments end at random; nine in ten are over after this many times their average.
+SPELLS_WAITED = 2.3
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -95,11 +97,14 @@
 
         That is the last moment at which it can still begin and end within its target. Past it,
         an answer is late, but a longer request may wait for it; so it gets the time in which
-        the slots are all given out once more, which serves it if the server has any room.
+        the slots are all given out once more, or a slow moment is over, which serves it if the
+        server has any room.
         """
         now = self._clock.now()
         seconds = self._speed.seconds_usual(demand.work)
         until = max(demand.due - seconds, now + self._gate.turnover_seconds)
+        if self._speed.soon_faster(now):
+            until = max(until, now + SPELLS_WAITED * self._speed.moments.spell_seconds)
         return min(until, demand.deadline - seconds)
 
     def time_to_start(self, demand: Demand) -> float:
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -124,8 +124,6 @@
             if self._order(waiter.demand, now) <= mine:
                 heapq.heappush(ends, start + self._speed.seconds_usual(waiter.demand.work))
                 start = self._next_start(ends)
-        if self._speed.soon_faster(now) and not self.starts_well(demand):
-            start = max(start, now + self._speed.moments.spell_seconds)
         return start
 
     def set_limit(self, limit: int) -> None:
--- /dev/null
+++ b/src/hoisthook/experiment/modelled_server.py
@@ -0,0 +1,132 @@
+"""A backend server in the model."""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from hoisthook.experiment.load_pattern import Befall
+
+if TYPE_CHECKING:
+    import random
+
+    from hoisthook.experiment.load_pattern import RouteTraits
+    from hoisthook.experiment.load_pattern import ServerTraits
+    from hoisthook.experiment.load_pattern import Trouble
+    from hoisthook.port.clock import Clock
+
+
+class Ended(Enum):
+    """How a request ends at a modelled backend server."""
+
+    DONE = "done"
+    FAILED = "failed"
+    SHED = "shed"
+    LOST = "lost"
+
+
+class ModelledServer:
+    """Slots, a queue, slow moments, cold starts and troubles.
+
+    The speed that holds when a request begins holds to its end.
+
+    Parameters
+    ----------
+    traits : ServerTraits
+        How it works.
+    troubles : list of Trouble
+        What befalls it.
+    randomness : random.Random
+        Draws work and slow moments.
+    clock : Clock
+        Virtual.
+    """
+
+    def __init__(
+        self,
+        traits: ServerTraits,
+        troubles: list[Trouble],
+        randomness: random.Random,
+        clock: Clock,
+    ) -> None:
+        self._traits = traits
+        self._troubles = troubles
+        self._randomness = randomness
+        self._clock = clock
+        self._slots = asyncio.Semaphore(traits.slots)
+        self._waiting = 0
+        self._drawn_until = 0.0
+        self._slow = False
+        self.running = 0
+        self.runs = 0
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests it runs at once."""
+        return self._traits.slots
+
+    def slowdown(self) -> float:
+        """Return what a load report says at this moment."""
+        now = self._clock.now()
+        while self._drawn_until <= now:
+            self._drawn_until += self._randomness.expovariate(1.0 / self._traits.slow_seconds)
+            self._slow = self._randomness.random() < self._traits.slow_share
+        return self._traits.slow_factor if self._slow else 1.0
+
+    def is_up(self) -> bool:
+        """Return whether it answers."""
+        return self._under(Befall.RESTART) is None
+
+    async def run(self, route: RouteTraits) -> Ended:
+        """Run a request."""
+        sheds = self._under(Befall.SHEDS)
+        if sheds is not None and self._randomness.random() < sheds.strength:
+            return Ended.SHED
+        if self._waiting >= self._traits.queue:
+            return Ended.SHED
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self.running += 1
+        try:
+            return await self._work(route)
+        finally:
+            self.running -= 1
+            self._slots.release()
+
+    async def _work(self, route: RouteTraits) -> Ended:
+        self.runs += 1
+        errors = self._under(Befall.ERRORS)
+        if errors is not None and self._randomness.random() < errors.strength:
+            return Ended.FAILED
+        begun = self._clock.now()
+        work = self._randomness.lognormvariate(0.0, route.spread) * route.work
+        await asyncio.sleep(work * self._factor())
+        if any(begun < t.at <= self._clock.now() for t in self._of(Befall.RESTART)):
+            return Ended.LOST
+        return Ended.DONE
+
+    def _factor(self) -> float:
+        traits = self._traits
+        factor = self.slowdown()
+        if self.running > traits.knee * traits.slots:
+            factor *= traits.knee_factor
+        now = self._clock.now()
+        started = (t.at + t.lasts for t in self._of(Befall.RESTART) if t.at + t.lasts <= now)
+        if now - max(started, default=-traits.cold_seconds) < traits.cold_seconds:
+            factor *= traits.cold_factor
+        degraded = self._under(Befall.DEGRADED)
+        return factor if degraded is None else factor * degraded.strength
+
+    def _of(self, kind: Befall) -> list[Trouble]:
+        return [trouble for trouble in self._troubles if trouble.kind is kind]
+
+    def _under(self, kind: Befall) -> Trouble | None:
+        now = self._clock.now()
+        for trouble in self._of(kind):
+            if trouble.at <= now < trouble.at + trouble.lasts:
+                return trouble
+        return None
--- /dev/null
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -0,0 +1,348 @@
+"""Nodes, backend servers and callers of a load pattern, played on virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from hoisthook.admission.admission_policy import Verdict
+from hoisthook.admission.admitter import Admitter
+from hoisthook.admission.server_speed import ServerSpeed
+from hoisthook.experiment.load_pattern import Befall
+from hoisthook.experiment.load_pattern import Tally
+from hoisthook.experiment.modelled_server import Ended
+from hoisthook.experiment.modelled_server import ModelledServer
+from hoisthook.experiment.virtual_loop import VirtualClock
+from hoisthook.experiment.virtual_loop import run_virtually
+from hoisthook.identity import DataCentre
+from hoisthook.identity import NodeId
+from hoisthook.identity import RequestId
+from hoisthook.measure.measure_budget import MeasureBudget
+from hoisthook.mesh.beside_load import BesideLoad
+from hoisthook.mesh.hop_header import Admission
+from hoisthook.mesh.outcome import WholeAnswer
+from hoisthook.mesh.peer import Peer
+from hoisthook.mesh.peer_choice import ChoiceSettings
+from hoisthook.mesh.peer_choice import PeerChoice
+from hoisthook.mesh.peer_directory import PeerDirectory
+from hoisthook.mesh.routed_call import RoutedCall
+from hoisthook.mesh.routed_dispatcher import RetrySettings
+from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from hoisthook.experiment.load_pattern import LoadPattern
+    from hoisthook.experiment.load_pattern import RouteTraits
+    from hoisthook.experiment.load_pattern import Trouble
+    from hoisthook.identity import RouteName
+    from hoisthook.identity import ServiceName
+    from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.peer import PeerView
+    from hoisthook.port.clock import Clock
+
+DATA_CENTRES = 3
+# One way between instances, and how long a read of the load takes.
+HOP_SECONDS = 0.001
+READ_SECONDS = 0.001
+USABLE_SHARE = 0.8
+READS_PER_SECOND = 60.0
+RETRY_SETTINGS = RetrySettings(ratio=0.2, window=10.0, extra=60.0)
+DATA_CENTRE_COST = 0.25
+# Callers that repeat at once do so after this.
+IMPATIENT_SECONDS = 0.01
+SUCCESS = 200
+FAILURE = 500
+
+
+class NoLog:
+    """An event log that keeps nothing."""
+
+    def event(self, name: str, **fields: object) -> None:
+        """Pass over an event."""
+
+    def decision(self, name: str, **fields: object) -> None:
+        """Pass over a decision."""
+
+
+class ModelledReader:
+    """Reads a modelled backend server's load; one read at a time."""
+
+    def __init__(self, server: ModelledServer, speed: ServerSpeed, clock: Clock) -> None:
+        self._server = server
+        self._speed = speed
+        self._clock = clock
+        self._reading: asyncio.Task[None] | None = None
+        self.reads = 0
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a read is under way."""
+        return self._reading is not None and not self._reading.done()
+
+    async def read(self) -> None:
+        """Read once, or wait for the read under way."""
+        if self._reading is None or self._reading.done():
+            self._reading = asyncio.get_running_loop().create_task(self._read())
+        await asyncio.shield(self._reading)
+
+    async def _read(self) -> None:
+        self.reads += 1
+        await asyncio.sleep(READ_SECONDS)
+        self._speed.moments.reported(self._server.slowdown(), self._clock.now())
+
+
+class ModelledNode:
+    """Admission beside one modelled backend server, and the entry for callers."""
+
+    def __init__(
+        self, peer: Peer, server: ModelledServer, system: ModelledSystem, clock: Clock
+    ) -> None:
+        self.peer = peer
+        self.server = server
+        self._system = system
+        self._clock = clock
+        self._speed = ServerSpeed()
+        self.reader = ModelledReader(server, self._speed, clock)
+        budget = MeasureBudget(READS_PER_SECOND, clock.now())
+        self.admitter = Admitter(self._speed, self.reader, budget, USABLE_SHARE, clock)
+        self.admitter.has_slots(server.slots)
+        self.directory = PeerDirectory(peer, NoLog())
+        choice = PeerChoice(
+            self.directory, ChoiceSettings(DATA_CENTRE_COST), random.Random(system.draw())
+        )
+        hop = ModelledHop(system, clock)
+        self.dispatcher = RoutedDispatcher(
+            choice, hop, self.directory, RETRY_SETTINGS, clock, NoLog()
+        )
+
+    def load(self) -> BesideLoad:
+        """Return what the node tells others."""
+        gate = self.admitter.gate
+        return BesideLoad(gate.running, gate.waiting, gate.limit, self._speed.slowdown, 0.0)
+
+    async def run(self, call: RoutedCall, admission: Admission) -> Outcome:
+        """Run a request beside this node as a node does."""
+        if not self.server.is_up():
+            return Refused(ResultCode.UNREACHABLE, 0.3)
+        demand = self.admitter.demand(
+            call.route,
+            call.priority,
+            received=call.received,
+            target=call.target_latency,
+            deadline=call.deadline,
+        )
+        await self.admitter.renew(demand)
+        may_wait = admission is Admission.QUEUE
+        ruling = self.admitter.rule(demand, may_wait=may_wait)
+        if ruling.verdict is Verdict.FULL:
+            return Refused(ResultCode.SLOTS_FULL, ruling.retry_after)
+        if ruling.verdict is Verdict.SLOW:
+            return Refused(ResultCode.BACKEND_SERVER_SLOW, ruling.retry_after)
+        stay = await self.admitter.enter(call.route, demand, may_wait=may_wait)
+        if stay is None:
+            retry_after = self.admitter.policy.time_to_start(demand)
+            return Refused(ResultCode.QUEUE_TIMEOUT, retry_after)
+        begun = self._clock.now()
+        try:
+            ended = await self._work(call)
+            if ended is Ended.DONE:
+                self.admitter.worked(stay, self._clock.now() - begun)
+            self._speed.moments.reported(self.server.slowdown(), self._clock.now())
+        finally:
+            self.admitter.leave(stay)
+        match ended:
+            case Ended.DONE:
+                return WholeAnswer(SUCCESS, [], b"")
+            case Ended.FAILED:
+                return WholeAnswer(FAILURE, [], b"")
+            case Ended.SHED:
+                return Refused(ResultCode.BACKEND_SERVER_SHED, 0.1)
+            case Ended.LOST:
+                return Lost(ResultCode.ANSWER_LOST)
+
+    async def _work(self, call: RoutedCall) -> Ended:
+        route = self._system.route_by_name[call.route]
+        ended = await self.server.run(route)
+        if ended is not Ended.DONE or self._system.draw_share() >= route.call_share:
+            return ended
+        called = self._system.route_by_name[route.calls]
+        outcome = await self._system.ask(self, called, call.deadline - self._clock.now())
+        served = isinstance(outcome, WholeAnswer) and outcome.status == SUCCESS
+        return Ended.DONE if served else Ended.FAILED
+
+
+class ModelledHop:
+    """Takes a request to a node and its answer back."""
+
+    def __init__(self, system: ModelledSystem, clock: Clock) -> None:
+        self._system = system
+        self._clock = clock
+
+    async def run(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
+        """Run the request there and learn from what comes back."""
+        node = self._system.node_by_id[view.peer.node]
+        way = 0.0 if view.is_self else HOP_SECONDS
+        view.sent()
+        try:
+            await asyncio.sleep(way)
+            outcome = await node.run(call, admission)
+            await asyncio.sleep(way)
+        finally:
+            view.ended()
+        view.reported(node.load(), self._clock.now())
+        if isinstance(outcome, Refused) and outcome.code is ResultCode.UNREACHABLE:
+            view.close_until(self._clock.now() + outcome.retry_after)
+        return outcome
+
+
+class ModelledSystem:
+    """Plays one load pattern.
+
+    Parameters
+    ----------
+    pattern : LoadPattern
+        What is played.
+    seed : int
+        Of all that is drawn.
+    """
+
+    def __init__(self, pattern: LoadPattern, seed: int) -> None:
+        self._pattern = pattern
+        self._randomness = random.Random(seed)
+        self._requests = 0
+        self._clock = VirtualClock()
+        self.route_by_name: dict[RouteName, RouteTraits] = {r.name: r for r in pattern.routes}
+        self.node_by_id: dict[NodeId, ModelledNode] = {}
+        self.tally = Tally()
+
+    def play(self) -> Tally:
+        """Play the pattern; return what became of its requests."""
+        run_virtually(self._play())
+        return self.tally
+
+    def draw(self) -> int:
+        """Return a seed."""
+        return self._randomness.getrandbits(32)
+
+    def draw_share(self) -> float:
+        """Return a number from 0 up to 1."""
+        return self._randomness.random()
+
+    async def ask(self, entry: ModelledNode, route: RouteTraits, time_left: float) -> Outcome:
+        """Send one request to a node as a caller beside it does."""
+        now = self._clock.now()
+        self._requests += 1
+        time_left = min(time_left, route.timeout)
+        call = RoutedCall(
+            request_id=RequestId(str(self._requests)),
+            route=route.name,
+            service=route.service,
+            caller_service=entry.peer.service,
+            method=b"GET",
+            target=b"/",
+            headers=[],
+            body=b"",
+            received=now,
+            deadline=now + time_left,
+            target_latency=route.target,
+            priority=route.priority,
+            repeatable=route.repeatable,
+            max_attempts=2,
+        )
+        try:
+            async with asyncio.timeout(time_left):
+                return (await entry.dispatcher.dispatch(call)).outcome
+        except TimeoutError:
+            return Lost(ResultCode.DEADLINE_DURING_RUN)
+
+    async def _play(self) -> None:
+        for service in self._pattern.services:
+            for number in range(service.servers):
+                self._add_node(service.name, number)
+        peers = [node.peer for node in self.node_by_id.values()]
+        for node in self.node_by_id.values():
+            node.directory.merge(peers, "model")
+        async with asyncio.TaskGroup() as callers:
+            for route in self._pattern.routes:
+                if route.per_second > 0:
+                    callers.create_task(self._arrivals(route, callers))
+        for node in self.node_by_id.values():
+            self.tally.reads += node.reader.reads
+            node.admitter.close()
+
+    def _add_node(self, service: ServiceName, number: int) -> None:
+        traits = next(s for s in self._pattern.services if s.name == service)
+        troubles = [
+            t for t in self._pattern.troubles if _befalls(t, service, number, traits.servers)
+        ]
+        server = ModelledServer(traits.traits, troubles, random.Random(self.draw()), self._clock)
+        peer = Peer(
+            node=NodeId(f"{service}-{number}"),
+            address=f"127.0.0.1:{10_000 + len(self.node_by_id)}",
+            service=service,
+            data_centre=DataCentre(f"dc-{number % DATA_CENTRES}"),
+        )
+        self.node_by_id[peer.node] = ModelledNode(peer, server, self, self._clock)
+
+    async def _arrivals(self, route: RouteTraits, callers: asyncio.TaskGroup) -> None:
+        entries = list(self.node_by_id.values())
+        while self._clock.now() < self._pattern.seconds:
+            burst = self._strength(Befall.BURST, 1.0)
+            await asyncio.sleep(self._randomness.expovariate(route.per_second * burst))
+            entry = entries[self._randomness.randrange(len(entries))]
+            callers.create_task(self._caller(entry, route))
+
+    async def _caller(self, entry: ModelledNode, route: RouteTraits) -> None:
+        begun = self._clock.now()
+        retries = route.retries
+        outcome = await self.ask(entry, route, route.timeout)
+        while retries > 0 and _may_retry(outcome, route):
+            retries -= 1
+            impatient = self._strength(Befall.RETRIES, 0.0) > 0
+            wait = outcome.retry_after if isinstance(outcome, Refused) else IMPATIENT_SECONDS
+            await asyncio.sleep(IMPATIENT_SECONDS if impatient else wait)
+            outcome = await self.ask(entry, route, route.timeout - (self._clock.now() - begun))
+        self._count(route, begun, outcome)
+
+    def _count(self, route: RouteTraits, begun: float, outcome: Outcome) -> None:
+        tally = self.tally
+        took = self._clock.now() - begun
+        worth = 0.0
+        if isinstance(outcome, WholeAnswer) and outcome.status == SUCCESS:
+            in_time = took <= route.target
+            worth = route.worth if in_time else route.late_worth
+            tally.in_time += in_time
+            tally.late += not in_time
+            tally.seconds.append(took)
+        elif isinstance(outcome, Refused):
+            tally.refused += 1
+        else:
+            tally.failed += 1
+        second = int(begun)
+        tally.owed += route.worth
+        tally.earned += worth
+        tally.owed_by_second[second] = tally.owed_by_second.get(second, 0.0) + route.worth
+        tally.earned_by_second[second] = tally.earned_by_second.get(second, 0.0) + worth
+
+    def _strength(self, kind: Befall, otherwise: float) -> float:
+        now = self._clock.now()
+        for trouble in self._pattern.troubles:
+            if trouble.kind is kind and trouble.at <= now < trouble.at + trouble.lasts:
+                return trouble.strength
+        return otherwise
+
+
+def _befalls(trouble: Trouble, service: ServiceName, number: int, servers: int) -> bool:
+    if trouble.service and trouble.service != service:
+        return False
+    return number < max(1, round(trouble.share * servers))
+
+
+def _may_retry(outcome: Outcome, route: RouteTraits) -> bool:
+    if isinstance(outcome, Refused):
+        return True
+    failed = isinstance(outcome, Lost) or outcome.status != SUCCESS
+    return failed and route.repeatable
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import WholeAnswer
@@ -20,7 +21,6 @@
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_choice import PeerChoice
     from hoisthook.mesh.peer_directory import PeerDirectory
-    from hoisthook.mesh.peer_hop import PeerHop
     from hoisthook.mesh.routed_call import RoutedCall
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
@@ -45,6 +45,13 @@
 )
 
 
+class Hop(Protocol):
+    """Takes requests to nodes."""
+
+    async def run(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
+        """Run a request at a node and learn from what comes back."""
+
+
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
     """The budget of extra tries that all nodes share.
@@ -113,7 +120,7 @@
     ----------
     choice : PeerChoice
         Chooses nodes.
-    hop : PeerHop
+    hop : Hop
         Sends.
     directory : PeerDirectory
         Tells by how many nodes the budget is shared.
@@ -128,7 +135,7 @@
     def __init__(
         self,
         choice: PeerChoice,
-        hop: PeerHop,
+        hop: Hop,
         directory: PeerDirectory,
         settings: RetrySettings,
         clock: Clock,
