Groups of nodes that formed apart at the start find each other

Cause: a node asked the seeds in its first three rounds only, or while it knew nobody. Where seeds were slow to start, each gathered the nodes that had reached it; then every node knew a peer, no node asked the other seed, and the groups stayed apart for good. Change: a seed that is not among the known members is asked once in five rounds. Before: test_groups_that_formed_apart_at_the_start_find_each_other fails; after: passes.

--- a/src/hoisthook/membership/gossip.py
+++ b/src/hoisthook/membership/gossip.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from hoisthook.identity import format_address
 from hoisthook.identity import parse_address
 from hoisthook.membership.member import Exchange
 from hoisthook.membership.member import MemberStatus
@@ -24,6 +25,9 @@
 
 FULL_SYNC_SECONDS = 2.0
 JOIN_ROUNDS = 3
+# A seed that is not known is asked once in so many rounds: one that was slow to start may have
+# gathered others of whom nobody here has heard. A dead one costs a failed connection then.
+UNKNOWN_SEED_ROUNDS = 5
 FAREWELL_PEERS = 5
 FAREWELL_DRAWS = 25
 BUSY_RECONCILE_SHARE = 0.02
@@ -142,9 +146,17 @@
 
     def _choose_seed(self, peer: Member | None) -> Address | None:
         joining = self._rounds <= JOIN_ROUNDS or peer is None
-        if not self.seeds or not joining:
+        seeds = self.seeds if joining else self._unknown_seeds()
+        if not seeds:
             return None
-        return self.seeds[self._randomness.randrange(len(self.seeds))]
+        return seeds[self._randomness.randrange(len(seeds))]
+
+    def _unknown_seeds(self) -> list[Address]:
+        if self._rounds % UNKNOWN_SEED_ROUNDS:
+            return []
+        known = {member.address for member in self.table}
+        known.add(self.table.me.address)
+        return [seed for seed in self.seeds if format_address(seed) not in known]
 
     async def _exchange_with(self, address: Address, peer: Member | None) -> None:
         self.exchanges += 1
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -102,6 +102,19 @@
     assert all(len(crowd.known(number)) == 8 for number in range(8))
 
 
+async def test_groups_that_formed_apart_at_the_start_find_each_other() -> None:
+    """Each knew a peer, so that none asked the seed that had been slow to start."""
+    crowd = Crowd(4)
+    for node in crowd.nodes:
+        node.seeds = [("127.0.0.1", 1), ("127.0.0.1", 2)]
+    crowd.cut({0, 2}, {1, 3})
+    await crowd.rounds(12)
+    assert crowd.known(0) == {"n0", "n2"}
+    crowd.cut(set(), set())
+    await crowd.rounds(20)
+    assert all(len(crowd.known(number)) == 4 for number in range(4))
+
+
 async def test_woken_node_comes_back_by_refuting(crowd: Crowd) -> None:
     await crowd.rounds(8)
     for transport in crowd.transports:
