--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -41,7 +41,7 @@
         self._ends_with_connection = False
         self._interim = False
         self._go_ahead: asyncio.Future[bool] | None = None
-        self._processing: asyncio.Event | None = None
+        self._processing: asyncio.Future[list[Header]] | None = None
         self._whole = False
         self._surplus = False
         self.body = BodyStream(self)
@@ -123,9 +123,9 @@
             self._go_ahead.set_result(False)
         return self._go_ahead
 
-    def processing(self) -> asyncio.Event:
-        """Return an event that is set once the other side says that the request is kept waiting."""
-        self._processing = asyncio.Event()
+    def processing(self) -> asyncio.Future[list[Header]]:
+        """Return what the other side says once it keeps the request waiting, if it does."""
+        self._processing = asyncio.get_running_loop().create_future()
         return self._processing
 
     def send_more(self, data: bytes) -> None:
@@ -255,8 +255,8 @@
     def _note_interim(self, status: int) -> None:
         if status != PROCESSING_STATUS:
             self._settle_go_ahead(asked=True)
-        elif self._processing is not None:
-            self._processing.set()
+        elif self._processing is not None and not self._processing.done():
+            self._processing.set_result(self._headers)
 
     def _settle_go_ahead(self, *, asked: bool) -> None:
         if self._go_ahead is not None and not self._go_ahead.done():
--- a/src/hoisthook/adapter/http/message.py
+++ b/src/hoisthook/adapter/http/message.py
@@ -100,5 +100,4 @@
 
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-PROCESSING = b"HTTP/1.1 102 Processing\r\n\r\n"
 PROCESSING_STATUS = 102
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -6,7 +6,7 @@
 
 from hoisthook.adapter.http.message import CONTINUE
 from hoisthook.adapter.http.message import LAST_CHUNK
-from hoisthook.adapter.http.message import PROCESSING
+from hoisthook.adapter.http.message import PROCESSING_STATUS
 from hoisthook.adapter.http.message import Header
 from hoisthook.adapter.http.message import encode_answer_head
 from hoisthook.adapter.http.message import encode_chunk
@@ -78,9 +78,9 @@
             self.expects_go_ahead = False
             self._connection.write(CONTINUE)
 
-    def processing(self) -> None:
+    def processing(self, headers: list[Header]) -> None:
         """Tell the other side that its request is kept waiting."""
-        self._connection.write(PROCESSING)
+        self._connection.write(encode_answer_head(PROCESSING_STATUS, headers))
 
     def begin(self, status: int, headers: list[Header], *, chunked: bool) -> bytes:
         """Start the answer; return its head for the first `write`."""
--- a/src/hoisthook/admission/admitter.py
+++ b/src/hoisthook/admission/admitter.py
@@ -143,7 +143,7 @@
         demand: Demand,
         *,
         may_wait: bool,
-        waiting: Callable[[], None] | None = None,
+        waiting: Callable[[float], None] | None = None,
     ) -> Stay | None:
         """Take a slot for a request that was not turned away; None if it got none.
 
@@ -156,13 +156,13 @@
         may_wait : bool
             Whether it is kept waiting.
         waiting : callable, optional
-            Called if it is.
+            Told for how many seconds at most, if it is.
         """
         until = self.policy.waits_until(demand) if may_wait else self._clock.now()
         if may_wait and not (self.gate.has_room and self.gate.starts_well(demand)):
             self._read_while_holding()
             if waiting is not None:
-                waiting()
+                waiting(max(0.0, until - self._clock.now()))
         slot = await self.gate.enter(demand, until)
         return None if slot is None else Stay(slot, route, demand.work, self.speed.slowdown)
 
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -9,6 +9,7 @@
 from hoisthook.adapter.http.message import encode_chunk
 from hoisthook.adapter.http.message import encode_request_head
 from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.mesh.hop_header import wait_of
 from hoisthook.mesh.whole_exchange import BODYLESS_METHODS
 from hoisthook.mesh.whole_exchange import read_whole
 from hoisthook.node.call import Lost
@@ -72,7 +73,7 @@
         silence = min(ADMISSION_SECONDS, silence)
         try:
             async with asyncio.timeout(timeout):
-                return await self._exchange(silence, max(ADMISSION_SECONDS, target_left))
+                return await self._exchange(silence)
         except TimeoutError:
             self._connection.close()
             return self._lost(ResultCode.DEADLINE_DURING_RUN)
@@ -83,32 +84,32 @@
             self._connection.close()
             raise
 
-    async def _exchange(self, silence: float, wait: float) -> tuple[AnswerHead, bytes]:
+    async def _exchange(self, silence: float) -> tuple[AnswerHead, bytes]:
         connection = self._connection
         call = self._call
         answer = connection.send(self._first_bytes(), bodyless_answer=call.method == b"HEAD")
-        self._admitted = await self._hear(silence, wait)
+        self._admitted = await self._hear(silence)
         if not call.repeatable:
             connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
         head = await answer
         return head, await read_whole(connection)
 
-    async def _hear(self, silence: float, wait: float) -> bool:
+    async def _hear(self, silence: float) -> bool:
         """Return whether the request is admitted.
 
-        A node that keeps it waiting says so at once: ``silence`` bounds the wait for a node that
-        may be gone, ``wait`` that for a slot.
+        A node that keeps it waiting says at once for how long; giving it up before would leave
+        a request unserved that is about to start.
         """
         going = self._connection.go_ahead()
         processing = self._connection.processing()
-        kept = asyncio.ensure_future(processing.wait())
-        try:
-            await asyncio.wait((going, kept), timeout=silence, return_when=asyncio.FIRST_COMPLETED)
-            if not going.done() and not kept.done():
-                raise TimeoutError
-        finally:
-            kept.cancel()
-        async with asyncio.timeout(wait):
+        await asyncio.wait(
+            (going, processing), timeout=silence, return_when=asyncio.FIRST_COMPLETED
+        )
+        if going.done():
+            return going.result()
+        if not processing.done():
+            raise TimeoutError
+        async with asyncio.timeout(wait_of(processing.result()) + ADMISSION_SECONDS):
             return await going
 
     def _first_bytes(self) -> bytes:
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -147,7 +147,7 @@
         admission: Admission,
         *,
         admitted: Callable[[], Awaitable[None]] | None = None,
-        waiting: Callable[[], None] | None = None,
+        waiting: Callable[[float], None] | None = None,
     ) -> Outcome:
         """Run a request.
 
@@ -160,7 +160,7 @@
         admitted : callable, optional
             Awaited once the request has a slot and before it is sent; completes its body.
         waiting : callable, optional
-            Called if the request is kept waiting for a slot.
+            Told for how many seconds at most the request is kept waiting for a slot.
         """
         demand = self._demand(call)
         if self.belief.state is BackendState.UNKNOWN:
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -4,19 +4,37 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from hoisthook.identity import RequestId
 from hoisthook.identity import RouteName
 from hoisthook.identity import ServiceName
 
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.message import Header
+
 HOP = b"hoisthook-hop"
 LOAD = b"hoisthook-load"
 RESULT = b"hoisthook-result"
 RETRY_AFTER_MS = b"hoisthook-retry-after-ms"
+WAIT_MS = b"hoisthook-wait-ms"
 FIELDS = 9
 MILLIS = 1000.0
 
 
+def wait_headers(seconds: float) -> list[Header]:
+    """Return what a node says that keeps a request waiting for some time."""
+    return [(WAIT_MS, b"%d" % round(seconds * MILLIS))]
+
+
+def wait_of(headers: list[Header]) -> float:
+    """Return for how many seconds a request may be kept waiting; 0 if nothing is said."""
+    for name, value in headers:
+        if name == WAIT_MS and value.isdigit():
+            return int(value) / MILLIS
+    return 0.0
+
+
 class Admission(Enum):
     """How a node beside a backend server is to admit a request."""
 
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -91,9 +91,10 @@
             if held_back:
                 call.body = await exchange.body.read_all(piece_timeout=PIECE_SECONDS)
 
-        outcome = await self._beside.run(
-            call, header.admission, admitted=admitted, waiting=exchange.processing
-        )
+        def waiting(seconds: float) -> None:
+            exchange.processing(hop_header.wait_headers(seconds))
+
+        outcome = await self._beside.run(call, header.admission, admitted=admitted, waiting=waiting)
         self._answer(exchange, outcome)
 
     def _answer(self, exchange: ServerExchange, outcome: Outcome) -> None:
