--- a/src/hoisthook/admission/server_speed.py
+++ b/src/hoisthook/admission/server_speed.py
@@ -43,11 +43,11 @@
 
     def seconds_usual(self, work: float) -> float:
         """Return how long work takes that begins outside a slow moment."""
-        return work * self.pace
+        return work * self.pace * max(1.0, self.moments.base)
 
     def seconds_slow(self, work: float) -> float:
         """Return how long work takes that begins in a slow moment."""
-        return work * self.pace * self.moments.slow_factor
+        return self.seconds_usual(work) * self.moments.slow_factor
 
     def soon_faster(self, now: float) -> bool:
         """Return whether this is a slow moment whose end is worth waiting for."""
--- a/src/hoisthook/admission/service_time.py
+++ b/src/hoisthook/admission/service_time.py
@@ -13,16 +13,22 @@
     A sample counts at most as `OUTLIER_FACTOR` times the present value, so that
     a stall of some dozen requests does not teach that stalling is usual, while a
     lasting change is learned within some hundred.
+
+    Parameters
+    ----------
+    warm_count : int
+        Samples before which nothing is known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, warm_count: int = WARM_COUNT) -> None:
+        self._warm_count = warm_count
         self.typical = 0.0
         self._count = 0
 
     @property
     def known(self) -> bool:
         """Return whether enough samples have come in to judge by."""
-        return self._count >= WARM_COUNT
+        return self._count >= self._warm_count
 
     def add(self, seconds: float) -> None:
         """Learn from one request."""
--- a/src/hoisthook/admission/slow_moments.py
+++ b/src/hoisthook/admission/slow_moments.py
@@ -4,8 +4,14 @@
 
 import math
 
-# Slower than this is not normal variation.
+# Slower than this many times the base is not normal variation.
 SLOW_FACTOR = 1.7
+# The base is the least slowdown reported within one to two of these. A server that has just
+# started is slower for seconds, with slow moments on top; waiting for it to be as fast as usual
+# would leave it idle until it is warm.
+BASE_SECONDS = 0.6
+# Assumed at first: above what a cold server reports, below a slow moment.
+FIRST_BASE = 2.5
 # What was seen this long ago counts for a third: neighbours on an instance come and go.
 MEMORY_SECONDS = 30.0
 # Reports further apart say nothing of what was between them.
@@ -37,6 +43,9 @@
             False: FIRST_ONSETS_PER_SECOND * FIRST_WEIGHT_SECONDS,
             True: FIRST_WEIGHT_SECONDS,
         }
+        self._base_before = FIRST_BASE
+        self._base_lately = FIRST_BASE
+        self._base_begun = -math.inf
         self.slowdown = 1.0
         self.since = -math.inf
         self.slow_factor = FIRST_SLOW_FACTOR
@@ -44,12 +53,18 @@
     @property
     def is_slow(self) -> bool:
         """Return whether the last report told of a slow moment."""
-        return self.slowdown >= SLOW_FACTOR
+        return self.slowdown >= SLOW_FACTOR * self.base
+
+    @property
+    def base(self) -> float:
+        """Return the slowdown outside slow moments."""
+        return min(self._base_before, self._base_lately)
 
     def reported(self, slowdown: float, now: float) -> None:
         """Take in a report that is true at ``now``."""
         was_slow = self.is_slow
         self.slowdown = slowdown
+        self._note_base(slowdown, now)
         changed = self.is_slow is not was_slow
         gap = now - self._seen_at
         if gap <= MAX_GAP_SECONDS:
@@ -57,7 +72,7 @@
         if changed or gap > MAX_GAP_SECONDS:
             self.since = now
         if self.is_slow:
-            self.slow_factor += FACTOR_SMOOTHING * (slowdown - self.slow_factor)
+            self.slow_factor += FACTOR_SMOOTHING * (slowdown / self.base - self.slow_factor)
         self._seen_at = now
 
     def age(self, now: float) -> float:
@@ -73,6 +88,13 @@
         """Return how long a slow moment lasts on average."""
         return 1.0 / self._rate(slow=True)
 
+    def _note_base(self, slowdown: float, now: float) -> None:
+        if now - self._base_begun > BASE_SECONDS:
+            self._base_before = self._base_lately
+            self._base_lately = slowdown
+            self._base_begun = now
+        self._base_lately = min(self._base_lately, slowdown)
+
     def _rate(self, *, slow: bool) -> float:
         return self._changes_by_slow[slow] / self._seconds_by_slow[slow]
 
--- a/src/hoisthook/admission/work_times.py
+++ b/src/hoisthook/admission/work_times.py
@@ -11,6 +11,9 @@
 
 # A first guess, as a share of the target latency: targets leave room for slow moments.
 WORK_SHARE_OF_TARGET = 0.3
+# A mean of so few answers is nearer than the guess; a node knows none after its restart, which is
+# when forecasts matter most.
+WARM_COUNT = 4
 
 
 class WorkTimes:
@@ -28,4 +31,6 @@
 
     def learn(self, route: RouteName, seconds: float, slowdown: float) -> None:
         """Take in how long a request took that began at some slowdown."""
-        self._time_by_route.setdefault(route, ServiceTime()).add(seconds / max(1.0, slowdown))
+        self._time_by_route.setdefault(route, ServiceTime(WARM_COUNT)).add(
+            seconds / max(1.0, slowdown)
+        )
--- a/src/hoisthook/experiment/modelled_server.py
+++ b/src/hoisthook/experiment/modelled_server.py
@@ -72,7 +72,8 @@
         while self._drawn_until <= now:
             self._drawn_until += self._randomness.expovariate(1.0 / self._traits.slow_seconds)
             self._slow = self._randomness.random() < self._traits.slow_share
-        return self._traits.slow_factor if self._slow else 1.0
+        cold = self._traits.cold_factor if self._is_cold(now) else 1.0
+        return cold * (self._traits.slow_factor if self._slow else 1.0)
 
     def is_up(self) -> bool:
         """Return whether it answers."""
@@ -114,13 +115,13 @@
         factor = self.slowdown()
         if self.running > traits.knee * traits.slots:
             factor *= traits.knee_factor
-        now = self._clock.now()
-        started = (t.at + t.lasts for t in self._of(Befall.RESTART) if t.at + t.lasts <= now)
-        if now - max(started, default=-traits.cold_seconds) < traits.cold_seconds:
-            factor *= traits.cold_factor
         degraded = self._under(Befall.DEGRADED)
         return factor if degraded is None else factor * degraded.strength
 
+    def _is_cold(self, now: float) -> bool:
+        started = (t.at + t.lasts for t in self._of(Befall.RESTART) if t.at + t.lasts <= now)
+        return now - max(started, default=-self._traits.cold_seconds) < self._traits.cold_seconds
+
     def _of(self, kind: Befall) -> list[Trouble]:
         return [trouble for trouble in self._troubles if trouble.kind is kind]
 
