--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -175,6 +175,7 @@
                 call.route, demand, may_wait=may_wait, waiting=waiting
             )
             if stay is not None:
+                self._log_admission(call, stay)
                 return await self._run_admitted(call, stay, admitted)
             refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
         self._log_refusal(call, admission, refused)
@@ -263,6 +264,13 @@
         outcome = self._read_answer(call, head, body)
         if isinstance(outcome, WholeAnswer) and outcome.status < FAILURE_STATUS:
             self._admitter.worked(stay, took)
+        self._log.decision(
+            "backend_answered",
+            request=call.request_id,
+            status=head.status,
+            took_ms=round(took * 1000.0, 1),
+            expected_ms=round(stay.slot.work * 1000.0, 1),
+        )
         return outcome
 
     def _note_lost(
@@ -320,6 +328,20 @@
     def _time_to_slot(self, call: RoutedCall) -> float:
         return self._admitter.policy.time_to_start(self._demand(call))
 
+    def _log_admission(self, call: RoutedCall, stay: Stay) -> None:
+        now = self._clock.now()
+        self._log.decision(
+            "admitted",
+            request=call.request_id,
+            waited_ms=round((now - call.received) * 1000.0, 1),
+            running=self.gate.running,
+            slowdown=stay.slowdown,
+            base=self._speed.moments.base,
+            pace=round(self._speed.pace, 2),
+            load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
+            may_be_wrong=round(self._speed.moments.chance_of_change(now), 3),
+        )
+
     def _log_refusal(self, call: RoutedCall, admission: Admission, refused: Refused) -> None:
         now = self._clock.now()
         self._log.decision(
