--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -15,7 +15,7 @@
 # A request that would be late if it began in a slow moment is started on a report that is wrong
 # with at most this chance; else the load is read first. A read costs about a millisecond, a late
 # answer several times the work of the request.
-MAX_BLIND_CHANCE = 0.03
+MAX_BLIND_CHANCE = 0.012
 # A report of a slow moment turns requests away for nothing once it is wrong; they go elsewhere
 # at the price of a hop, so it may be wrong more often before a read is worth its cost.
 MAX_STALE_SLOW_CHANCE = 0.3
