Revert: late requests yield while others are turned away in time

Pattern: after a restart servers work at half of their speed, so that whoever waits is late. Change tried: a request whose target is over yields its slot while requests are turned away that could still be in time.

--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -75,7 +75,6 @@
     def start_now(self, demand: Demand) -> Ruling:
         """Rule on a request that may only start at once."""
         if not self._gate.has_room:
-            self._note_turned_away(demand)
             return Ruling(Verdict.FULL, self.time_to_start(demand))
         if not self._gate.starts_well(demand):
             spell = self._speed.moments.spell_seconds
@@ -90,7 +89,6 @@
         """
         start = self._gate.forecast_start(demand)
         if start > self.waits_until(demand):
-            self._note_turned_away(demand)
             return Ruling(Verdict.FULL, self.time_to_start(demand))
         return ADMITTED
 
@@ -104,10 +102,7 @@
         """
         now = self._clock.now()
         seconds = self._speed.seconds_usual(demand.work)
-        until = demand.due - seconds
-        if self._gate.pressure.yields(demand, seconds, max(now, until)):
-            return until
-        until = max(until, now + self._gate.turnover_seconds)
+        until = max(demand.due - seconds, now + self._gate.turnover_seconds)
         if self._speed.soon_faster(now):
             until = max(until, now + SPELLS_WAITED * self._speed.moments.spell_seconds)
         return min(until, demand.deadline - seconds)
@@ -117,12 +112,6 @@
         start = self._gate.forecast_start(demand)
         return max(MIN_RETRY_AFTER_SECONDS, start - self._clock.now())
 
-    def _note_turned_away(self, demand: Demand) -> None:
-        now = self._clock.now()
-        seconds = self._speed.seconds_usual(demand.work)
-        if now + seconds <= demand.due:
-            self._gate.pressure.turned_away(seconds, now)
-
     def is_read_worthwhile(self, demand: Demand) -> bool:
         """Return whether a read of the load could change what is decided about a request."""
         if not self._gate.has_room:
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -8,8 +8,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hoisthook.admission.pressure import Pressure
-
 if TYPE_CHECKING:
     from hoisthook.admission.demand import Demand
     from hoisthook.admission.server_speed import ServerSpeed
@@ -65,7 +63,6 @@
         self._limit = limit
         self._speed = speed
         self._clock = clock
-        self.pressure = Pressure()
         self._waiters: list[_Waiter] = []
         self._running: set[Slot] = set()
         self._numbers = 0
@@ -111,8 +108,6 @@
     def starts_well(self, demand: Demand) -> bool:
         """Return whether a request may start at this moment's speed."""
         now = self._clock.now()
-        if self.pressure.yields(demand, self._speed.seconds_usual(demand.work), now):
-            return False
         if now + self._speed.seconds_now(demand.work) <= demand.due:
             return True
         return not self._speed.soon_faster(now)
