Revert: who must wait goes where a slot is free first

Pattern: after a restart some servers of a service have a queue of 160 ms and others none. Change tried: reports carry a forecast of the wait, and a request that must wait goes to the least whatever its data centre.

--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -5,13 +5,11 @@
 import asyncio
 import heapq
 import math
-import sys
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hoisthook.admission.demand import Demand
-
 if TYPE_CHECKING:
+    from hoisthook.admission.demand import Demand
     from hoisthook.admission.server_speed import ServerSpeed
     from hoisthook.port.clock import Clock
 
@@ -114,14 +112,6 @@
             return True
         return not self._speed.soon_faster(now)
 
-    def forecast_wait(self) -> float:
-        """Return the seconds after which a slot is likely to be free that nobody waits for."""
-        if self.has_room:
-            return 0.0
-        now = self._clock.now()
-        last = Demand(priority=sys.maxsize, due=math.inf, deadline=math.inf, work=0.0)
-        return max(0.0, self.forecast_start(last) - now)
-
     def forecast_start(self, demand: Demand) -> float:
         """Return when a request that came now would get a slot."""
         now = self._clock.now()
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -121,14 +121,7 @@
     def load(self) -> BesideLoad:
         """Return what the node tells others."""
         gate = self.admitter.gate
-        return BesideLoad(
-            running=gate.running,
-            waiting=gate.waiting,
-            limit=gate.limit,
-            slowdown=self._speed.slowdown,
-            failing=0.0,
-            wait=gate.forecast_wait(),
-        )
+        return BesideLoad(gate.running, gate.waiting, gate.limit, self._speed.slowdown, 0.0)
 
     async def run(self, call: RoutedCall, admission: Admission) -> Outcome:
         """Run a request beside this node as a node does."""
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -139,7 +139,6 @@
             limit=self.gate.limit,
             slowdown=self._speed.slowdown,
             failing=self.belief.failing,
-            wait=self.gate.forecast_wait(),
         )
 
     async def run(
--- a/src/hoisthook/mesh/beside_load.py
+++ b/src/hoisthook/mesh/beside_load.py
@@ -4,9 +4,8 @@
 
 from dataclasses import dataclass
 
-FIELDS = 7
+FIELDS = 6
 PERCENT = 100.0
-MILLIS = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,8 +24,6 @@
         How many times its usual time work takes there.
     failing : float
         Share of recent answers that failed, 0 to 1.
-    wait : float
-        Seconds after which a slot is likely to be free; 0 if one is.
     configuration : int
         Version in force at the node; -1 for none.
     """
@@ -36,20 +33,18 @@
     limit: int
     slowdown: float
     failing: float
-    wait: float = 0.0
     configuration: int = -1
 
     def encode(self) -> bytes:
-        """Return the header's value; shares and factors in per cent, times in milliseconds."""
+        """Return the header's value; shares and factors in per cent."""
         slowdown = round(self.slowdown * PERCENT)
         failing = round(self.failing * PERCENT)
-        return b"%d %d %d %d %d %d %d" % (
+        return b"%d %d %d %d %d %d" % (
             self.running,
             self.waiting,
             self.limit,
             slowdown,
             failing,
-            round(self.wait * MILLIS),
             self.configuration + 1,
         )
 
@@ -59,13 +54,5 @@
         parts = value.split()
         if len(parts) != FIELDS or not all(part.isdigit() for part in parts):
             return None
-        running, waiting, limit, slowdown, failing, wait, version = (int(part) for part in parts)
-        return cls(
-            running=running,
-            waiting=waiting,
-            limit=limit,
-            slowdown=slowdown / PERCENT,
-            failing=failing / PERCENT,
-            wait=wait / MILLIS,
-            configuration=version - 1,
-        )
+        running, waiting, limit, slowdown, failing, version = (int(part) for part in parts)
+        return cls(running, waiting, limit, slowdown / PERCENT, failing / PERCENT, version - 1)
--- a/src/hoisthook/mesh/peer.py
+++ b/src/hoisthook/mesh/peer.py
@@ -109,12 +109,6 @@
         weight = math.exp(-self.age(now) / REPORT_LIFE_SECONDS)
         return weight * self.load.slowdown + (1.0 - weight) * USUAL_SLOWDOWN
 
-    def expected_wait(self, now: float) -> float:
-        """Return the seconds to expect before a slot is free; an old report fades to none."""
-        if self.load is None:
-            return 0.0
-        return math.exp(-self.age(now) / REPORT_LIFE_SECONDS) * self.load.wait
-
     def expected_load_share(self, now: float) -> float:
         """Return the share of its slots to expect in use."""
         if self.load is None:
--- a/src/hoisthook/mesh/peer_choice.py
+++ b/src/hoisthook/mesh/peer_choice.py
@@ -78,7 +78,7 @@
                 for view in self._directory.serving(call.service)
                 if view.peer.node not in left_out
             ]
-        return self._soonest(views, call, now)
+        return self._best(views, call, now)
 
     def _open(
         self, call: RoutedCall, left_out: Collection[NodeId], now: float
@@ -95,17 +95,6 @@
         near = [view for score, view in scored if score <= bound]
         return near[self._randomness.randrange(len(near))]
 
-    def _soonest(self, views: list[PeerView], call: RoutedCall, now: float) -> PeerView | None:
-        """Return the view with the least wait; the rest of its score decides among equals.
-
-        Whoever waits is soon late, so that another data centre is worth its price.
-        """
-        if not views:
-            return None
-        waits = [(view.expected_wait(now) / call.target_latency, view) for view in views]
-        bound = min(wait for wait, _ in waits) + TOLERANCE
-        return self._best([view for wait, view in waits if wait <= bound], call, now)
-
     def _score(self, view: PeerView, call: RoutedCall, now: float) -> float:
         share = view.expected_load_share(now)
         score = WORK_SHARE_OF_TARGET * view.expected_slowdown(now) * (1.0 + _crowding(share))
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -156,7 +156,7 @@
     system: MeshSystem, odd_peers: list[OddPeer]
 ) -> None:
     refusal = (
-        b"HTTP/1.1 503 Full\r\nhoisthook-load: 4 0 4 100 0 0 2\r\nhoisthook-result: 2006\r\n"
+        b"HTTP/1.1 503 Full\r\nhoisthook-load: 4 0 4 100 0 2\r\nhoisthook-result: 2006\r\n"
         b"hoisthook-retry-after-ms: 1\r\ncontent-length: 0\r\n\r\n"
     )
     odd = OddPeer(answer=refusal)
