--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -76,7 +76,7 @@
         """Rule on a request that may only start at once."""
         if not self._gate.has_room:
             return Ruling(Verdict.FULL, self.time_to_start(demand))
-        if not self._gate.starts_well(demand):
+        if self._gate.is_stalled or not self._gate.ends_in_time(demand):
             spell = self._speed.moments.spell_seconds
             return Ruling(Verdict.SLOW, max(MIN_RETRY_AFTER_SECONDS, spell))
         return ADMITTED
@@ -101,7 +101,7 @@
         server has any room.
         """
         now = self._clock.now()
-        seconds = self._speed.seconds_usual(demand.work)
+        seconds = self._speed.seconds_usual(demand.work, now)
         until = max(demand.due - seconds, now + self._gate.turnover_seconds)
         if self._speed.soon_faster(now):
             until = max(until, now + SPELLS_WAITED * self._speed.moments.spell_seconds)
@@ -118,7 +118,7 @@
             return False
         now = self._clock.now()
         moments = self._speed.moments
-        if now + self._speed.seconds_slow(demand.work) <= demand.due:
+        if now + self._speed.seconds_slow(demand.work, now) <= demand.due:
             return False
         if moments.is_slow:
             return moments.chance_of_change(now) > MAX_STALE_SLOW_CHANCE
--- a/src/hoisthook/admission/admitter.py
+++ b/src/hoisthook/admission/admitter.py
@@ -172,9 +172,13 @@
 
     def worked(self, stay: Stay, seconds: float) -> None:
         """Learn from a request that ran to its end."""
-        self.speed.finished(stay.work, seconds, stay.slowdown)
+        self.gave_up(stay, seconds)
         self._work.learn(stay.route, seconds, stay.slowdown)
 
+    def gave_up(self, stay: Stay, seconds: float) -> None:
+        """Learn from a request that was given up while it ran."""
+        self.speed.finished(stay.work, seconds, stay.slowdown, self._clock.now())
+
     def has_slots(self, slots: int) -> None:
         """Take in how many requests the backend server can run at once; 0 if not known."""
         limit = max(1, int((slots or DEFAULT_SLOTS) * self._usable_share))
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -15,6 +15,9 @@
 
 # A request that runs longer than forecast is expected to run on for this share of its work.
 OVERRUN_SHARE = 0.2
+# Twice the expected time is beyond the variation of work; a single request may be long by itself.
+STALL_FACTOR = 2.0
+MIN_STALLED = 2
 
 
 @dataclass(slots=True, eq=False)
@@ -107,10 +110,22 @@
 
     def starts_well(self, demand: Demand) -> bool:
         """Return whether a request may start at this moment's speed."""
+        return self.ends_in_time(demand) or not self._speed.soon_faster(self._clock.now())
+
+    def ends_in_time(self, demand: Demand) -> bool:
+        """Return whether a request that starts at this moment is likely to meet its target."""
         now = self._clock.now()
-        if now + self._speed.seconds_now(demand.work) <= demand.due:
-            return True
-        return not self._speed.soon_faster(now)
+        return now + self._speed.seconds_now(demand.work, now) <= demand.due
+
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether most of what runs takes far longer than it was to.
+
+        Shows a server that has slowed down without a report before its requests end.
+        """
+        now = self._clock.now()
+        overdue = sum(1 for s in self._running if now > s.ends + (STALL_FACTOR - 1.0) * s.work)
+        return overdue >= MIN_STALLED and 2 * overdue > len(self._running)
 
     def forecast_start(self, demand: Demand) -> float:
         """Return when a request that came now would get a slot."""
@@ -122,7 +137,7 @@
         mine = self._order(demand, now)
         for waiter in self._waiters:
             if self._order(waiter.demand, now) <= mine:
-                heapq.heappush(ends, start + self._speed.seconds_usual(waiter.demand.work))
+                heapq.heappush(ends, start + self._speed.seconds_usual(waiter.demand.work, now))
                 start = self._next_start(ends)
         return start
 
@@ -191,8 +206,9 @@
                 waiter.admitted.set_result(None)
 
     def _take(self, demand: Demand) -> Slot:
-        seconds = self._speed.seconds_now(demand.work)
-        slot = Slot(self._clock.now() + seconds, seconds)
+        now = self._clock.now()
+        seconds = self._speed.seconds_now(demand.work, now)
+        slot = Slot(now + seconds, seconds)
         self._running.add(slot)
         return slot
 
@@ -206,7 +222,7 @@
         return None
 
     def _order(self, demand: Demand, now: float) -> tuple[bool, int, float]:
-        latest = demand.due - self._speed.seconds_usual(demand.work)
+        latest = demand.due - self._speed.seconds_usual(demand.work, now)
         return (latest < now, demand.priority, latest)
 
     def _next_start(self, ends: list[float]) -> float:
--- a/src/hoisthook/admission/server_speed.py
+++ b/src/hoisthook/admission/server_speed.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import math
+
 from hoisthook.admission.slow_moments import SlowMoments
 
 # Weight of one finished request. A server that has just started works at half its speed for a few
 # seconds; with a dozen requests running this is learned within one round of them.
 PACE_SMOOTHING = 0.12
-# One request moves the pace by no more than its work could plausibly vary.
+# One request moves the pace by no more than this.
 MIN_RATIO = 0.4
-MAX_RATIO = 4.0
+MAX_RATIO = 8.0
+# A pace that nothing confirms fades back to the usual: a server that got no work because it was
+# slow is tried again after about this long.
+PACE_MEMORY_SECONDS = 2.0
 # A slow moment that has lasted this many times the average is a state, not a moment: waiting for
 # its end would keep requests from being run at all.
 SPELLS_WAITED_FOR = 4.0
@@ -24,30 +29,41 @@
 
     def __init__(self) -> None:
         self.moments = SlowMoments()
-        self.pace = 1.0
+        self._pace = 1.0
+        self._paced_at = 0.0
 
     @property
     def slowdown(self) -> float:
         """Return the factor that the last report told of."""
         return self.moments.slowdown
 
-    def finished(self, work: float, seconds: float, slowdown: float) -> None:
-        """Learn from a request that was to take ``work`` and began at some slowdown."""
+    def pace(self, now: float) -> float:
+        """Return how many times as long work takes as usual, reports left aside."""
+        kept = math.exp(-max(0.0, now - self._paced_at) / PACE_MEMORY_SECONDS)
+        return 1.0 + kept * (self._pace - 1.0)
+
+    def finished(self, work: float, seconds: float, slowdown: float, now: float) -> None:
+        """Learn from a request that was to take ``work`` and began at some slowdown.
+
+        One that was given up after ``seconds`` counts as if it had ended then.
+        """
         ratio = seconds / (work * max(1.0, slowdown))
         bounded = min(MAX_RATIO, max(MIN_RATIO, ratio))
-        self.pace += PACE_SMOOTHING * (bounded - self.pace)
+        pace = self.pace(now)
+        self._pace = pace + PACE_SMOOTHING * (bounded - pace)
+        self._paced_at = now
 
-    def seconds_now(self, work: float) -> float:
+    def seconds_now(self, work: float, now: float) -> float:
         """Return how long work takes that begins at once."""
-        return work * self.pace * max(1.0, self.slowdown)
+        return work * self.pace(now) * max(1.0, self.slowdown)
 
-    def seconds_usual(self, work: float) -> float:
+    def seconds_usual(self, work: float, now: float) -> float:
         """Return how long work takes that begins outside a slow moment."""
-        return work * self.pace * max(1.0, self.moments.base)
+        return work * self.pace(now) * max(1.0, self.moments.base)
 
-    def seconds_slow(self, work: float) -> float:
+    def seconds_slow(self, work: float, now: float) -> float:
         """Return how long work takes that begins in a slow moment."""
-        return self.seconds_usual(work) * self.moments.slow_factor
+        return self.seconds_usual(work, now) * self.moments.slow_factor
 
     def soon_faster(self, now: float) -> bool:
         """Return whether this is a slow moment whose end is worth waiting for."""
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -277,7 +277,9 @@
         self, call: RoutedCall, stay: Stay, lost: Lost, took: float, *, reused: bool
     ) -> None:
         at_once = took < DROPPED_SHARE_OF_WORK * stay.work
-        if lost.code is not ResultCode.DEADLINE_DURING_RUN:
+        if lost.code is ResultCode.DEADLINE_DURING_RUN:
+            self._admitter.gave_up(stay, took)
+        else:
             self._note_broken(at_once=at_once, reused=reused)
         self._log.decision(
             "backend_lost",
@@ -337,7 +339,7 @@
             running=self.gate.running,
             slowdown=stay.slowdown,
             base=self._speed.moments.base,
-            pace=round(self._speed.pace, 2),
+            pace=round(self._speed.pace(now), 2),
             load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
             may_be_wrong=round(self._speed.moments.chance_of_change(now), 3),
         )
@@ -353,7 +355,7 @@
             waiting=self.gate.waiting,
             limit=self.gate.limit,
             slowdown=self._speed.slowdown,
-            pace=round(self._speed.pace, 2),
+            pace=round(self._speed.pace(now), 2),
             load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
             state=self.belief.state.value,
         )
