--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -103,7 +103,7 @@
         now = self._clock.now()
         seconds = self._speed.seconds_usual(demand.work, now)
         until = max(demand.due - seconds, now + self._gate.turnover_seconds)
-        if self._speed.soon_faster(now):
+        if self._speed.is_worth_holding(demand.work, now):
             until = max(until, now + SPELLS_WAITED * self._speed.moments.spell_seconds)
         return min(until, demand.deadline - seconds)
 
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -110,7 +110,9 @@
 
     def starts_well(self, demand: Demand) -> bool:
         """Return whether a request may start at this moment's speed."""
-        return self.ends_in_time(demand) or not self._speed.soon_faster(self._clock.now())
+        if self.ends_in_time(demand):
+            return True
+        return not self._speed.is_worth_holding(demand.work, self._clock.now())
 
     def ends_in_time(self, demand: Demand) -> bool:
         """Return whether a request that starts at this moment is likely to meet its target."""
--- a/src/hoisthook/admission/server_speed.py
+++ b/src/hoisthook/admission/server_speed.py
@@ -65,7 +65,13 @@
         """Return how long work takes that begins in a slow moment."""
         return self.seconds_usual(work, now) * self.moments.slow_factor
 
-    def soon_faster(self, now: float) -> bool:
-        """Return whether this is a slow moment whose end is worth waiting for."""
-        lasted = now - self.moments.since
-        return self.moments.is_slow and lasted < SPELLS_WAITED_FOR * self.moments.spell_seconds
+    def is_worth_holding(self, work: float, now: float) -> bool:
+        """Return whether work that waits for the end of this slow moment ends sooner.
+
+        It does where the moment is short beside what it costs the work; where moments last for
+        several requests, slots that stand idle in them only make the queue longer.
+        """
+        moments = self.moments
+        if not moments.is_slow or now - moments.since > SPELLS_WAITED_FOR * moments.spell_seconds:
+            return False
+        return moments.spell_seconds < self.seconds_now(work, now) - self.seconds_usual(work, now)
