--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -104,7 +104,7 @@
         """
         now = self._clock.now()
         seconds = self._speed.seconds_usual(demand.work, now)
-        until = demand.due - seconds
+        until = demand.due - self._speed.seconds_usual(demand.work + demand.spread, now)
         if self._gate.yields(demand):
             return until
         until = max(until, now + self._gate.turnover_seconds)
--- a/src/hoisthook/admission/admitter.py
+++ b/src/hoisthook/admission/admitter.py
@@ -121,7 +121,8 @@
             When its answer is of no use any more.
         """
         work = self._work.usual(route, target)
-        return Demand(priority, received + target, deadline, work)
+        spread = self._work.spread(route, target)
+        return Demand(priority, received + target, deadline, work, spread)
 
     async def renew(self, demand: Demand) -> None:
         """Read the load if that could change what is decided about a request."""
--- a/src/hoisthook/admission/demand.py
+++ b/src/hoisthook/admission/demand.py
@@ -19,9 +19,12 @@
         When its answer is of no use any more.
     work : float
         How long it usually takes at this backend server where nothing slows it.
+    spread : float
+        How much longer it takes about once in five times: the mean deviation, in seconds.
     """
 
     priority: int
     due: float
     deadline: float
     work: float
+    spread: float = 0.0
--- a/src/hoisthook/admission/service_time.py
+++ b/src/hoisthook/admission/service_time.py
@@ -23,6 +23,7 @@
     def __init__(self, warm_count: int = WARM_COUNT) -> None:
         self._warm_count = warm_count
         self.typical = 0.0
+        self.deviation = 0.0
         self._count = 0
 
     @property
@@ -38,4 +39,5 @@
             return
         bounded = min(seconds, OUTLIER_FACTOR * self.typical + 1e-6)
         weight = max(SMOOTHING, 1.0 / self._count)
+        self.deviation += weight * (abs(bounded - self.typical) - self.deviation)
         self.typical += weight * (bounded - self.typical)
--- a/src/hoisthook/admission/work_times.py
+++ b/src/hoisthook/admission/work_times.py
@@ -11,6 +11,8 @@
 
 # A first guess, as a share of the target latency: targets leave room for slow moments.
 WORK_SHARE_OF_TARGET = 0.3
+# And of how much it varies, as a share of itself.
+SPREAD_SHARE_OF_WORK = 0.25
 # A mean of so few answers is nearer than the guess; a node knows none after its restart, which is
 # when forecasts matter most.
 WARM_COUNT = 4
@@ -29,6 +31,13 @@
             return target_latency * WORK_SHARE_OF_TARGET
         return known.typical
 
+    def spread(self, route: RouteName, target_latency: float) -> float:
+        """Return the mean deviation of those seconds."""
+        known = self._time_by_route.get(route)
+        if known is None or not known.known:
+            return target_latency * WORK_SHARE_OF_TARGET * SPREAD_SHARE_OF_WORK
+        return known.deviation
+
     def learn(self, route: RouteName, seconds: float, slowdown: float) -> None:
         """Take in how long a request took that began at some slowdown."""
         self._time_by_route.setdefault(route, ServiceTime(WARM_COUNT)).add(
