--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -34,10 +34,6 @@
 # as repeats at the services they go to, which these tries do not see: with 1.4 calls a request,
 # as the users' busiest route makes, tries of both services at this share stay within the budget.
 OWN_SHARE_OF_BUDGET = 0.5
-# Share of the budget that all extra tries may use, those included that follow a refusal by the
-# backend server itself: what did not run has made no calls. The rest is left for what callers
-# and other entries send at the same moment.
-WHOLE_SHARE_OF_BUDGET = 0.8
 # Below this nothing can be run any more.
 MIN_TIME_LEFT_SECONDS = 0.003
 FAILURE_STATUSES = frozenset({500, 502, 503})
@@ -209,7 +205,7 @@
             if outcome.code in _ARRIVED_CODES:
                 if outcome.code is ResultCode.BACKEND_SERVER_SHED:
                     progress.left_out.add(node)
-                return self._take_budget(call, outcome.code.number, ran=False)
+                return self._take_budget(call, outcome.code.number)
             if outcome.code not in _MAY_QUEUE_CODES:
                 progress.left_out.add(node)
             return outcome.code is not ResultCode.DEADLINE_PASSED
@@ -230,12 +226,10 @@
             return False
         if call.target_left(self._clock.now()) <= 0:
             return False
-        return self._take_budget(call, reason, ran=True)
+        return self._take_budget(call, reason)
 
-    def _take_budget(self, call: RoutedCall, reason: int, *, ran: bool) -> bool:
-        budget = self._budget(call.service)
-        share = OWN_SHARE_OF_BUDGET if ran else WHOLE_SHARE_OF_BUDGET
-        taken = budget.take(self._clock.now(), share)
+    def _take_budget(self, call: RoutedCall, reason: int) -> bool:
+        taken = self._budget(call.service).take(self._clock.now())
         self._log.decision(
             "extra_try", request=call.request_id, reason=reason, granted=taken, service=call.service
         )
@@ -253,10 +247,11 @@
         return Refused(progress.code, max(MIN_RETRY_AFTER_SECONDS, progress.soonest))
 
     def _budget(self, service: ServiceName) -> WindowedRetryBudget:
-        extra = self._settings.extra / max(1, len(self._directory))
+        ratio = OWN_SHARE_OF_BUDGET * self._settings.ratio
+        extra = OWN_SHARE_OF_BUDGET * self._settings.extra / max(1, len(self._directory))
         budget = self._budget_by_service.get(service)
         if budget is None:
-            budget = WindowedRetryBudget(self._settings.ratio, self._settings.window, extra)
+            budget = WindowedRetryBudget(ratio, self._settings.window, extra)
             self._budget_by_service[service] = budget
         budget.extra = extra
         return budget
--- a/src/hoisthook/retry/windowed_retry_budget.py
+++ b/src/hoisthook/retry/windowed_retry_budget.py
@@ -31,18 +31,10 @@
         self._requests.append(now)
         self._expire(now)
 
-    def take(self, now: float, share: float = 1.0) -> bool:
-        """Return whether an extra try may be made, and count it if so.
-
-        Parameters
-        ----------
-        now : float
-            Seconds.
-        share : float
-            Share of the budget that may be used up by this try and those before it.
-        """
+    def take(self, now: float) -> bool:
+        """Return whether an extra try may be made, and count it if so."""
         self._expire(now)
-        allowed = share * (self._ratio * len(self._requests) + self.extra)
+        allowed = self._ratio * len(self._requests) + self.extra
         if len(self._tries) + 1 > allowed:
             self.denied += 1
             return False
