--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -32,9 +32,8 @@
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
 
-# Instances are a few milliseconds apart; one that takes longer is down or cut off. A request that
-# looks for a server pays this for each one that has lost power.
-CONNECT_SECONDS = 0.05
+# Instances are a few milliseconds apart; one that takes longer is down or cut off.
+CONNECT_SECONDS = 0.1
 DEFAULT_RETRY_SECONDS = 0.05
 _CLOSING_CODES = frozenset(
     {
