--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -121,7 +121,7 @@
         now = self._clock.now()
         seconds = self._speed.seconds_usual(demand.work, now)
         if now + seconds <= demand.due:
-            self._gate.pressure.turned_away(now)
+            self._gate.pressure.turned_away(seconds, now)
 
     def is_read_worthwhile(self, demand: Demand) -> bool:
         """Return whether a read of the load could change what is decided about a request."""
