Late requests do not yield; a wait still leaves room for the spread of the work

Cause: a request refused a start at once counted as turned away although it was then served from the queue, so late ones yielded to nobody after a restart. Counting only what was refused for good showed nothing in the model.

--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -8,8 +8,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from hoisthook.admission.pressure import Pressure
-
 if TYPE_CHECKING:
     from hoisthook.admission.demand import Demand
     from hoisthook.admission.server_speed import ServerSpeed
@@ -68,7 +66,6 @@
         self._limit = limit
         self._speed = speed
         self._clock = clock
-        self.pressure = Pressure()
         self._waiters: list[_Waiter] = []
         self._running: set[Slot] = set()
         self._numbers = 0
@@ -115,15 +112,8 @@
         """Return whether a request may start at this moment's speed."""
         if self.ends_in_time(demand):
             return True
-        if self.yields(demand):
-            return False
         return not self._speed.is_worth_holding(demand.work, self._clock.now())
 
-    def yields(self, demand: Demand) -> bool:
-        """Return whether a request that cannot be in time now leaves its place to others."""
-        now = self._clock.now()
-        return self.pressure.yields(self._speed.seconds_usual(demand.work, now), now)
-
     def ends_in_time(self, demand: Demand) -> bool:
         """Return whether a request that starts at this moment is likely to meet its target."""
         now = self._clock.now()
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -336,6 +336,7 @@
             "admitted",
             request=call.request_id,
             waited_ms=round((now - call.received) * 1000.0, 1),
+            priority=call.priority,
             running=self.gate.running,
             slowdown=stay.slowdown,
             base=self._speed.moments.base,
