--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -75,6 +75,7 @@
     def start_now(self, demand: Demand) -> Ruling:
         """Rule on a request that may only start at once."""
         if not self._gate.has_room:
+            self._note_turned_away(demand)
             return Ruling(Verdict.FULL, self.time_to_start(demand))
         if self._gate.is_stalled or not self._gate.ends_in_time(demand):
             spell = self._speed.moments.spell_seconds
@@ -89,6 +90,7 @@
         """
         start = self._gate.forecast_start(demand)
         if start > self.waits_until(demand):
+            self._note_turned_away(demand)
             return Ruling(Verdict.FULL, self.time_to_start(demand))
         return ADMITTED
 
@@ -103,6 +105,8 @@
         now = self._clock.now()
         seconds = self._speed.seconds_usual(demand.work, now)
         until = demand.due - self._speed.seconds_usual(demand.work + demand.spread, now)
+        if self._gate.yields(demand):
+            return until
         until = max(until, now + self._gate.turnover_seconds)
         if self._speed.is_worth_holding(demand.work, now):
             until = max(until, now + SPELLS_WAITED * self._speed.moments.spell_seconds)
@@ -113,6 +117,12 @@
         start = self._gate.forecast_start(demand)
         return max(MIN_RETRY_AFTER_SECONDS, start - self._clock.now())
 
+    def _note_turned_away(self, demand: Demand) -> None:
+        now = self._clock.now()
+        seconds = self._speed.seconds_usual(demand.work, now)
+        if now + seconds <= demand.due:
+            self._gate.pressure.turned_away(seconds, now)
+
     def is_read_worthwhile(self, demand: Demand) -> bool:
         """Return whether a read of the load could change what is decided about a request."""
         if not self._gate.has_room:
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -8,7 +8,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hoisthook.admission.pressure import Pressure
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hoisthook.admission.demand import Demand
     from hoisthook.admission.server_speed import ServerSpeed
     from hoisthook.port.clock import Clock
@@ -30,10 +34,13 @@
         When the request is expected to end.
     work : float
         What it was expected to take.
+    usual : float
+        What it would take outside a slow moment.
     """
 
     ends: float
     work: float
+    usual: float
 
 
 @dataclass(slots=True, eq=False)
@@ -66,6 +73,7 @@
         self._limit = limit
         self._speed = speed
         self._clock = clock
+        self.pressure = Pressure()
         self._waiters: list[_Waiter] = []
         self._running: set[Slot] = set()
         self._numbers = 0
@@ -98,9 +106,7 @@
     @property
     def turnover_seconds(self) -> float:
         """Return what the requests that run were expected to take on average."""
-        if not self._running:
-            return 0.0
-        return sum(slot.work for slot in self._running) / len(self._running)
+        return self._mean(slot.work for slot in self._running)
 
     def waiting_before(self, demand: Demand) -> int:
         """Return how many would get a slot before a request that came now."""
@@ -112,8 +118,17 @@
         """Return whether a request may start at this moment's speed."""
         if self.ends_in_time(demand):
             return True
+        if self.yields(demand):
+            return False
         return not self._speed.is_worth_holding(demand.work, self._clock.now())
 
+    def yields(self, demand: Demand) -> bool:
+        """Return whether a request that cannot be in time now leaves its place to others."""
+        now = self._clock.now()
+        seconds = self._speed.seconds_usual(demand.work, now)
+        usual = self._mean(slot.usual for slot in self._running)
+        return self.pressure.yields(seconds, usual, now)
+
     def ends_in_time(self, demand: Demand) -> bool:
         """Return whether a request that starts at this moment is likely to meet its target."""
         now = self._clock.now()
@@ -207,10 +222,13 @@
             if not waiter.admitted.done():
                 waiter.admitted.set_result(None)
 
+    def _mean(self, seconds: Iterable[float]) -> float:
+        return sum(seconds) / len(self._running) if self._running else 0.0
+
     def _take(self, demand: Demand) -> Slot:
         now = self._clock.now()
         seconds = self._speed.seconds_now(demand.work, now)
-        slot = Slot(now + seconds, seconds)
+        slot = Slot(now + seconds, seconds, self._speed.seconds_usual(demand.work, now))
         self._running.add(slot)
         return slot
 
--- a/src/hoisthook/console/application.py
+++ b/src/hoisthook/console/application.py
@@ -10,6 +10,7 @@
 from hoisthook.console.commands.codes import CodesCommand
 from hoisthook.console.commands.delete_service import DeleteServiceCommand
 from hoisthook.console.commands.drain import DrainCommand
+from hoisthook.console.commands.experiment import ExperimentCommand
 from hoisthook.console.commands.explain import ExplainCommand
 from hoisthook.console.commands.get_service import GetServiceCommand
 from hoisthook.console.commands.history import HistoryCommand
@@ -35,6 +36,7 @@
     SchemaCommand(),
     CodesCommand(),
     ExplainCommand(),
+    ExperimentCommand(),
     PutServiceCommand(),
     GetServiceCommand(),
     ListServicesCommand(),
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -297,13 +297,13 @@
 
     async def _caller(self, entry: ModelledNode, route: RouteTraits) -> None:
         begun = self._clock.now()
-        retries = route.retries
+        storm = self._strength(Befall.RETRIES, 0.0)
+        retries = max(route.retries, int(storm))
         outcome = await self.ask(entry, route, route.timeout)
         while retries > 0 and _may_retry(outcome, route):
             retries -= 1
-            impatient = self._strength(Befall.RETRIES, 0.0) > 0
             wait = outcome.retry_after if isinstance(outcome, Refused) else IMPATIENT_SECONDS
-            await asyncio.sleep(IMPATIENT_SECONDS if impatient else wait)
+            await asyncio.sleep(IMPATIENT_SECONDS if storm else wait)
             outcome = await self.ask(entry, route, route.timeout - (self._clock.now() - begun))
         self._count(route, begun, outcome)
 
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -47,6 +47,17 @@
     return _load(path, lambda text: check_mesh_settings(_parse(text, MeshSettings)))
 
 
+def load_model(path: Path, model: type[Settings]) -> Settings:
+    """Return a TOML file as a model, its types checked.
+
+    Raises
+    ------
+    SettingsError
+        With one line that names the file, the key and the rule.
+    """
+    return _load(path, lambda text: _parse(text, model))
+
+
 def parse_settings(text: str) -> NodeSettings:
     """Return the settings in ``text``, their types checked.
 
--- /dev/null
+++ b/tests/experiment/test_replays.py
@@ -0,0 +1,121 @@
+"""Loads that a mechanism answers, replayed on virtual time with it and without it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hoisthook.admission import admission_policy
+from hoisthook.admission import priority_gate
+from hoisthook.admission.server_speed import ServerSpeed
+from hoisthook.experiment.load_pattern import Befall
+from hoisthook.experiment.load_pattern import LoadPattern
+from hoisthook.experiment.load_pattern import RouteTraits
+from hoisthook.experiment.load_pattern import ServiceTraits
+from hoisthook.experiment.load_pattern import Trouble
+from hoisthook.experiment.modelled_system import ModelledSystem
+from hoisthook.experiment.virtual_loop import run_virtually
+from hoisthook.identity import RouteName
+from hoisthook.identity import ServiceName
+
+if TYPE_CHECKING:
+    from hoisthook.experiment.load_pattern import Tally
+
+SHOP = ServiceName("shop")
+SEEDS = (1, 2, 3)
+
+
+def pattern(*troubles: Trouble, per_second: float, work: float = 0.2) -> LoadPattern:
+    services = [ServiceTraits(SHOP, 4)]
+    route = RouteTraits(RouteName("r"), SHOP, per_second, work, 2.7 * work, 6.0 * work)
+    return LoadPattern("test", 10.0, services, [route], list(troubles))
+
+
+def played(load: LoadPattern) -> list[Tally]:
+    return [ModelledSystem(load, seed).play() for seed in SEEDS]
+
+
+def share(tallies: list[Tally]) -> float:
+    return sum(tally.share for tally in tallies) / len(tallies)
+
+
+def test_a_seed_is_played_the_same_each_time() -> None:
+    load = pattern(per_second=60.0)
+    first, second = (ModelledSystem(load, 7).play() for _ in range(2))
+    assert first == second
+    assert first.requests > 400
+
+
+def test_virtual_time_ends_where_nothing_will_happen() -> None:
+    async def wait_for_ever() -> None:
+        await asyncio.Event().wait()
+
+    with pytest.raises(RuntimeError, match="will not happen"):
+        run_virtually(wait_for_ever())
+
+
+def test_slow_moments_are_known_before_work_starts_in_them(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    load = pattern(per_second=80.0)
+    informed = played(load)
+    monkeypatch.setattr(admission_policy, "MAX_BLIND_CHANCE", 1.0)
+    blind = played(load)
+    assert share(informed) > share(blind) + 0.02
+    assert sum(t.late for t in informed) < sum(t.late for t in blind) / 2
+
+
+def test_load_is_read_only_where_a_read_can_change_what_is_decided() -> None:
+    tight = played(pattern(per_second=80.0))
+    loose_route = RouteTraits(RouteName("r"), SHOP, 80.0, 0.02, 0.6, 1.2)
+    load = LoadPattern("loose", 10.0, [ServiceTraits(SHOP, 4)], [loose_route])
+    assert sum(t.reads for t in played(load)) < 0.05 * sum(t.reads for t in tight)
+
+
+def test_slow_moments_are_waited_out_where_that_ends_sooner(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    load = pattern(per_second=160.0)
+    waiting = played(load)
+    monkeypatch.setattr(ServerSpeed, "is_worth_holding", lambda *_: False)
+    starting = played(load)
+    assert share(waiting) > share(starting) + 0.01
+
+
+def test_server_that_slows_down_unreported_is_known_by_its_pace(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    load = pattern(Trouble(Befall.DEGRADED, 2.0, 6.0, strength=3.0, share=0.25), per_second=60.0)
+    finding = played(load)
+    monkeypatch.setattr(ServerSpeed, "pace", lambda *_: 1.0)
+    blind = played(load)
+    assert share(finding) > share(blind) + 0.02
+
+
+def test_server_that_all_but_stops_is_found_by_its_overdue_work(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    load = pattern(Trouble(Befall.DEGRADED, 2.0, 6.0, strength=12.0, share=0.25), per_second=60.0)
+    finding = played(load)
+    monkeypatch.setattr(priority_gate, "MIN_STALLED", 10_000)
+    waiting = played(load)
+    assert share(finding) > share(waiting) + 0.01
+
+
+def test_restart_of_all_is_over_within_the_time_that_servers_are_cold() -> None:
+    load = pattern(Trouble(Befall.RESTART, 2.0, 0.8), per_second=100.0)
+    for tally in played(load):
+        after = range(7, 10)
+        owed = sum(tally.owed_by_second[second] for second in after)
+        earned = sum(tally.earned_by_second[second] for second in after)
+        assert earned > 0.9 * owed
+
+
+def test_burst_is_served_or_refused_and_nobody_is_left_to_the_deadline() -> None:
+    load = pattern(Trouble(Befall.BURST, 2.0, 3.0, strength=4.0), per_second=100.0)
+    for tally in played(load):
+        assert tally.refused > 0
+        assert tally.failed < 0.02 * tally.requests
+        assert tally.in_time > 0.5 * tally.requests
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -229,3 +229,25 @@
     assert (await reader.readuntil(b"\r\n\r\n")).split()[1] == b"200"
     assert [arrival.body for arrival in server.backend.arrivals] == [b"5"]
     writer.close()
+
+
+async def test_node_that_keeps_a_request_waiting_says_so_and_is_heard_until_then(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hoisthook.mesh.admitted_exchange.MIN_ADMISSION_SECONDS", 0.05)
+    monkeypatch.setattr("hoisthook.mesh.admitted_exchange.ADMISSION_SHARE_OF_TARGET", 0.0)
+    entry = await system.add("front")
+    server = await system.add("shop", slots=1)
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop", target=2.0, timeout=20.0))
+    await system.until_configured(1)
+    server.backend.work_seconds = 0.4
+    first = asyncio.create_task(system.call(entry))
+    async with asyncio.timeout(10.0):
+        while not server.backend.running:
+            await asyncio.sleep(0.001)
+    # It waits for eight times as long as a node may be silent.
+    assert (await system.call(entry))[0] == 200
+    assert (await first)[0] == 200
+    assert not system.log.named("hop_lost")
+    assert len(server.backend.arrivals) == 2
--- a/tests/settings/test_mesh_settings.py
+++ b/tests/settings/test_mesh_settings.py
@@ -25,6 +25,7 @@
     "bounds.budgetRatio": "0.2",
     "bounds.budgetWindowS": "10",
     "bounds.budgetExtra": "58",
+    "bounds.probesPerS": "60",
 }
 
 
