An answer restores the incarnation that gives it; unknown work takes some time

Causes, found by reading: a node that restarted and knows only the present incarnation took a late heartbeat of the one before for a newer one, and then held the present one for former for good. Work of an unknown route was guessed as a share of what is left of the target, which may be nothing: a division by it ended the request after its answer. Ruled out: taking any answer as ready, which would undo a drain that was acknowledged.

--- a/src/hoisthook/admission/work_times.py
+++ b/src/hoisthook/admission/work_times.py
@@ -11,6 +11,8 @@
 
 # A first guess, as a share of the target latency: targets leave room for slow moments.
 WORK_SHARE_OF_TARGET = 0.3
+# Work takes some time: what is left of a target may be nothing, or less.
+MIN_WORK_SECONDS = 0.001
 # And of how much it varies, as a share of itself.
 SPREAD_SHARE_OF_WORK = 0.25
 # A mean of so few answers is nearer than the guess; a node knows none after its restart, which is
@@ -28,14 +30,14 @@
         """Return the seconds that a request of a route takes where work is not slowed."""
         known = self._time_by_route.get(route)
         if known is None or not known.known:
-            return target_latency * WORK_SHARE_OF_TARGET
-        return known.typical
+            return max(MIN_WORK_SECONDS, target_latency * WORK_SHARE_OF_TARGET)
+        return max(MIN_WORK_SECONDS, known.typical)
 
     def spread(self, route: RouteName, target_latency: float) -> float:
         """Return the mean deviation of those seconds."""
         known = self._time_by_route.get(route)
         if known is None or not known.known:
-            return target_latency * WORK_SHARE_OF_TARGET * SPREAD_SHARE_OF_WORK
+            return self.usual(route, target_latency) * SPREAD_SHARE_OF_WORK
         return known.deviation
 
     def learn(self, route: RouteName, seconds: float, slowdown: float) -> None:
--- a/src/hoisthook/mesh/backend_belief.py
+++ b/src/hoisthook/mesh/backend_belief.py
@@ -73,7 +73,7 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
-        self._former: deque[InstanceId] = deque(maxlen=MAX_FORMER)
+        self._former: dict[InstanceId, BackendState] = {}
         self._sequence = -1
         self._failed: deque[bool] = deque(maxlen=RECENT_ANSWERS)
         self._dropped_in_a_row = 0
@@ -112,17 +112,22 @@
 
     def deregistered(self, instance: InstanceId) -> None:
         """Note that an incarnation has left for good."""
-        if instance not in self._former:
-            self._former.append(instance)
+        self._remember(instance, BackendState.GONE)
         if self.instance in (None, instance):
             self.instance = instance
             self._enter(BackendState.GONE)
 
     def answered_as(self, instance: InstanceId) -> None:
-        """Note which incarnation answers at the address."""
-        if instance != self.instance and instance not in self._former:
+        """Note which incarnation answers at the address.
+
+        One that answers is not former, whatever a late announcement of its predecessor made
+        believe; it is in the state in which it was. Only a farewell is for good.
+        """
+        state = self._former.get(instance, BackendState.READY)
+        if instance != self.instance and state is not BackendState.GONE:
             self._replace(instance, "answered")
-            self._enter(BackendState.READY)
+            self._former.pop(instance, None)
+            self._enter(state)
 
     def refused_health(self) -> None:
         """Note that the backend server calls itself unhealthy before it was heard of."""
@@ -162,7 +167,7 @@
     def _replace(self, instance: InstanceId, how: str) -> None:
         before = self.instance
         if before is not None:
-            self._former.append(before)
+            self._remember(before, self.state)
         self.instance = instance
         self._sequence = -1
         self._failed.clear()
@@ -171,6 +176,13 @@
         self.closed_until = -math.inf
         self._log.event("backend_instance", instance=instance, before=before, how=how)
 
+    def _remember(self, instance: InstanceId, state: BackendState) -> None:
+        # A farewell is kept whatever follows.
+        if self._former.get(instance) is not BackendState.GONE:
+            self._former[instance] = state
+        while len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
+
     def _enter(self, state: BackendState, **fields: object) -> None:
         if state is self.state:
             return
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -6,12 +6,16 @@
 import pytest
 
 from hoisthook.adapter.http.call_server import CallServer
+from hoisthook.identity import InstanceId
 from hoisthook.identity import ServiceName
 from hoisthook.identity import parse_address
 from hoisthook.mesh import mesh_node
 from hoisthook.mesh import peer_hop
+from hoisthook.mesh.backend_belief import Announcement
+from hoisthook.mesh.backend_belief import BackendBelief
 from hoisthook.retry.windowed_retry_budget import WindowedRetryBudget
 from standin.mesh_backend import Fault
+from standin.mesh_system import ListLog
 from standin.mesh_system import RouteOptions
 
 if TYPE_CHECKING:
@@ -213,3 +217,37 @@
     entry.node.directory.forget("node-2", "test")  # type: ignore[arg-type]
     await entry.node._registration._read()
     assert len(list(entry.node.directory.serving(ServiceName("shop")))) == 1
+
+
+def announcement(instance: str, sequence: int, *, draining: bool = False) -> Announcement:
+    return Announcement(InstanceId(instance), sequence, draining, slots=4, cold_seconds=0.0)
+
+
+def test_late_heartbeat_of_an_incarnation_unknown_here_is_undone_by_an_answer() -> None:
+    """As after a restart of the node: it knows nothing of the incarnation before."""
+    belief = BackendBelief(ListLog())
+    belief.announced(announcement("new", 5), 0.0)
+    belief.announced(announcement("dead", 90), 1.0)
+    belief.answered_as(InstanceId("new"))
+    assert belief.instance == "new"
+    assert belief.takes_work
+    belief.announced(announcement("new", 6, draining=True), 2.0)
+    assert not belief.takes_work
+
+
+def test_answer_does_not_undo_the_drain_of_the_incarnation_that_gives_it() -> None:
+    belief = BackendBelief(ListLog())
+    belief.announced(announcement("new", 5, draining=True), 0.0)
+    belief.announced(announcement("dead", 90), 1.0)
+    belief.answered_as(InstanceId("new"))
+    assert belief.instance == "new"
+    assert not belief.takes_work
+
+
+def test_answer_does_not_bring_back_an_incarnation_that_has_said_farewell() -> None:
+    belief = BackendBelief(ListLog())
+    belief.announced(announcement("old", 5), 0.0)
+    belief.deregistered(InstanceId("old"))
+    belief.announced(announcement("new", 1), 1.0)
+    belief.answered_as(InstanceId("old"))
+    assert belief.instance == "new"
