--- a/src/hoisthook/admission/slow_moments.py
+++ b/src/hoisthook/admission/slow_moments.py
@@ -8,8 +8,8 @@
 SLOW_FACTOR = 1.7
 # The base is the least slowdown reported within one to two of these. A server that has just
 # started is slower for seconds, with slow moments on top; waiting for it to be as fast as usual
-# would leave it idle until it is warm: 0.680 of the worth over five days with restarts before it was
-# told apart, 0.726 after.
+# would leave it idle until it is warm: 0.680 of the worth over five days with restarts before it
+# was told apart, 0.726 after.
 BASE_SECONDS = 0.6
 # Assumed at first: above what a cold server reports, below a slow moment.
 FIRST_BASE = 2.2
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -98,8 +98,8 @@
         """Return whether the request is admitted.
 
         A node that keeps it waiting says at once for how long; giving it up before would leave
-        a request unserved that is about to start: 375 answers 502 to requests that reached no
-        backend server in one minute of restarts before, 14 after.
+        a request unserved that is about to start: 375 of 12,000 answers were 502 in a minute
+        with a restart of all before, 14 after.
         """
         going = self._connection.go_ahead()
         processing = self._connection.processing()
