explain: what names no request is a change of belief, whatever lines are new

Cause: explain kept a list of the lines about requests, which the new lines admitted and backend_answered were not on; they were told as beliefs of other requests. Before: the story in tests/console/test_explain.py with such a line has one line too many; after: passes.

--- a/src/hoisthook/console/commands/explain.py
+++ b/src/hoisthook/console/commands/explain.py
@@ -20,10 +20,6 @@
 
 # Fields that every line bears, shown in the line's head.
 _HEAD_FIELDS = frozenset({"time", "node", "event", "request"})
-# Decisions about requests; all other lines change a belief.
-_DECISIONS = frozenset(
-    {"answered", "not_admitted", "extra_try", "hop_lost", "backend_lost", "backend_spoiled"}
-)
 MAX_SUMMARY_ROWS = 40
 MILLIS = 1000.0
 
@@ -74,7 +70,8 @@
             continue
         if line.request == request or line.request.startswith(f"{request}."):
             decisions.append((line, raw))
-        elif line.event not in _DECISIONS:
+        elif not line.request:
+            # Decisions about requests name them; what names none changes a belief.
             beliefs.append((line, raw))
     if not decisions:
         return
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -25,6 +25,7 @@
     {"time": 10.01, "node": "n-2", "event": "not_admitted", "request": "a", "code": 2006},
     {"time": 10.0, "node": "n-3", "event": "answered", "request": "a.1", "code": 0, "took_ms": 3.0},
     {"time": 10.0, "node": "n-1", "event": "answered", "request": "b", "code": 0, "service": "s"},
+    {"time": 9.9, "node": "n-2", "event": "admitted", "request": "b", "running": 3},
 ]
 
 
