--- a/src/hoisthook/adapter/operator_service.py
+++ b/src/hoisthook/adapter/operator_service.py
@@ -78,6 +78,9 @@
         """Say whether a backend server takes new work."""
         request = await stream.recv_message()
         assert request is not None
+        if not request.expected and not self._is_known(request.backend_server):
+            await stream.send_message(_unknown_backend_server(request.backend_server))
+            return
         change = SetDrain(request.backend_server, request.drained)
         await stream.send_message(await self._submit(request.header, change))
 
@@ -170,7 +173,18 @@
             )
         return pb.ChangeReply(code_name=ResultCode.OK.name, revision=done.ok_value.winner)
 
+    def _is_known(self, backend_server: str) -> bool:
+        if backend_server in self._state.drained:
+            return True
+        return any(member.backend_server == backend_server for member in self._table)
+
     def _entry(self, name: str) -> pb.ServiceEntry:
         spec = self._state.service_by_name[name]
         revision = self._state.revision_by_key[f"service/{name}"]
         return pb.ServiceEntry(service=spec_to_message(spec), revision=revision)
+
+
+def _unknown_backend_server(backend_server: str) -> pb.ChangeReply:
+    code = ResultCode.NOT_FOUND
+    detail = f"no node knows a backend server {backend_server!r}; --expected is for one to come"
+    return pb.ChangeReply(code=code.number, code_name=code.name, detail=detail)
--- a/src/hoisthook/configuration/configuration_desk.py
+++ b/src/hoisthook/configuration/configuration_desk.py
@@ -23,6 +23,9 @@
     from hoisthook.port.platform_log import PlatformLog
 
 SETTLE_SECONDS = 5.0
+# Appends of one change: the first, one after a kept connection that the other end had closed, and
+# one more for an answer lost on the way.
+MAX_APPENDS = 3
 
 
 class ChangeFailure(msgspec.Struct, frozen=True):
@@ -48,8 +51,10 @@
 
     "Accepted" is said only when the record has been read back in the log's order
     and won. An append whose answer was lost is looked for by its operation id; if
-    it cannot be found, the operator is told that it is unknown, and the same
-    operation id may be used again without harm.
+    the log answers and does not have it, it is appended again, which is harmless
+    should the first one arrive after all: a record that stands there twice takes
+    effect once. The operator is told that it is unknown only while the log stays
+    away.
 
     Parameters
     ----------
@@ -87,13 +92,25 @@
         known = self._state.outcome_by_operation.get(record.operation_id)
         if known is not None:
             return _judge(record, known)
-        try:
-            offset = await self._log.append(CHANGES_STREAM, msgspec.json.encode(record))
-        except LogUnavailableError as error:
-            return Err(ChangeFailure(ResultCode.LOG_UNAVAILABLE, error.detail))
-        except AppendUnknownError as error:
-            return await self._look_for(record, error.detail)
-        return await self._settle(record, offset)
+        return await self._append(record)
+
+    async def _append(self, record: ChangeRecord) -> Result[Outcome, ChangeFailure]:
+        payload = msgspec.json.encode(record)
+        lost = ""
+        for _ in range(MAX_APPENDS):
+            try:
+                offset = await self._log.append(CHANGES_STREAM, payload)
+            except LogUnavailableError as error:
+                return _unavailable(error, lost)
+            except AppendUnknownError as error:
+                lost = error.detail
+                if not await self._read_quietly():
+                    break
+                if record.operation_id in self._state.outcome_by_operation:
+                    break
+            else:
+                return await self._settle(record, offset)
+        return self._outcome(record, lost)
 
     async def _settle(self, record: ChangeRecord, offset: int) -> Result[Outcome, ChangeFailure]:
         await self._read_quietly()
@@ -102,15 +119,13 @@
             return Err(ChangeFailure(ResultCode.APPEND_UNKNOWN, detail))
         return self._outcome(record, "the record was passed over")
 
-    async def _look_for(self, record: ChangeRecord, detail: str) -> Result[Outcome, ChangeFailure]:
-        await self._read_quietly()
-        return self._outcome(record, detail)
-
-    async def _read_quietly(self) -> None:
+    async def _read_quietly(self) -> bool:
+        """Read what the log has; return whether it answered."""
         try:
             await self._follower.read_log()
         except LogUnavailableError:
-            return
+            return False
+        return True
 
     def _outcome(self, record: ChangeRecord, detail: str) -> Result[Outcome, ChangeFailure]:
         outcome = self._state.outcome_by_operation.get(record.operation_id)
@@ -119,6 +134,13 @@
         return _judge(record, outcome)
 
 
+def _unavailable(error: LogUnavailableError, lost: str) -> Result[Outcome, ChangeFailure]:
+    """Return what is known of a change that the log did not take, after one lost append or none."""
+    if lost:
+        return Err(ChangeFailure(ResultCode.APPEND_UNKNOWN, f"{lost}; then {error.detail}"))
+    return Err(ChangeFailure(ResultCode.LOG_UNAVAILABLE, error.detail))
+
+
 def _judge(record: ChangeRecord, outcome: Outcome) -> Result[Outcome, ChangeFailure]:
     if outcome.key != record.key:
         detail = f"operation {record.operation_id!r} changed {outcome.key}"
--- a/src/hoisthook/console/commands/drain.py
+++ b/src/hoisthook/console/commands/drain.py
@@ -4,11 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from hoisthook.console.operator_call import add_change_arguments
-from hoisthook.console.operator_call import call
-from hoisthook.console.operator_call import change_header
-from hoisthook.console.operator_call import print_reply
-from hoisthook.rpc import operator_pb2 as pb
+from hoisthook.console.drain_call import add_drain_arguments
+from hoisthook.console.drain_call import set_drain
 
 if TYPE_CHECKING:
     import argparse
@@ -22,12 +19,8 @@
 
     def configure(self, parser: argparse.ArgumentParser) -> None:
         """Add the command's arguments."""
-        add_change_arguments(parser)
-        parser.add_argument("backend_server")
+        add_drain_arguments(parser)
 
     def handle(self, arguments: argparse.Namespace) -> int:
         """Run it and return the exit status."""
-        request = pb.SetDrainRequest(
-            header=change_header(arguments), backend_server=arguments.backend_server, drained=True
-        )
-        return print_reply(call(arguments.node, lambda stub: stub.SetDrain(request)))
+        return set_drain(arguments, drained=True)
--- a/tests/configuration/test_configuration_desk.py
+++ b/tests/configuration/test_configuration_desk.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import msgspec
@@ -23,6 +24,9 @@
 from tests.fakes import FakePeer
 from tests.fakes import FakePeers
 
+if TYPE_CHECKING:
+    from hoisthook.port.platform_log import LogPage
+
 
 class Seat(NamedTuple):
     state: ConfigurationState
@@ -78,17 +82,59 @@
     assert log.append_count == 1
 
 
-async def test_lost_request_is_unknown_and_safe_to_repeat(
+async def test_lost_request_is_sent_again_and_runs_once(
     log: FakeLog, clock: FakeClock, peers: FakePeers
 ) -> None:
     here = seat(log, clock, peers)
     log.lose_requests = 1
+    done = await here.desk.submit(change("1"))
+    assert isinstance(done, Ok)
+    assert done.ok_value.winner == 1
+    assert log.append_count == 1
+
+
+async def test_requests_that_stay_lost_are_unknown_and_safe_to_repeat(
+    log: FakeLog, clock: FakeClock, peers: FakePeers
+) -> None:
+    here = seat(log, clock, peers)
+    log.lose_requests = configuration_desk.MAX_APPENDS
     first = await here.desk.submit(change("1"))
     assert isinstance(first, Err)
     assert first.err_value.code is ResultCode.APPEND_UNKNOWN
     assert isinstance(await here.desk.submit(change("1")), Ok)
 
 
+async def test_request_lost_before_an_outage_is_unknown(
+    log: FakeLog, clock: FakeClock, peers: FakePeers
+) -> None:
+    """The first append may still arrive, so "nothing changed" would say too much."""
+    here = seat(log, clock, peers)
+    log.lose_requests = 1
+    refuses_after_read = log.read
+
+    async def read_then_refuse(stream: str, offset: int, *, wait: float = 0.0) -> LogPage:
+        page = await refuses_after_read(stream, offset, wait=wait)
+        log.outage = log.lose_requests == 0
+        return page
+
+    log.read = read_then_refuse
+    done = await here.desk.submit(change("1"))
+    assert isinstance(done, Err)
+    assert done.err_value.code is ResultCode.APPEND_UNKNOWN
+
+
+async def test_append_that_arrives_after_its_repeat_takes_effect_once(
+    log: FakeLog, clock: FakeClock, peers: FakePeers
+) -> None:
+    here, there = seat(log, clock, peers), seat(log, clock, peers)
+    log.lose_requests = 1
+    assert isinstance(await here.desk.submit(change("1")), Ok)
+    await log.append(CHANGES_STREAM, msgspec.json.encode(change("1")))
+    await there.follower.read_log()
+    assert there.state.revision_by_key["service/a"] == 1
+    assert len(there.state.history) == 1
+
+
 async def test_lost_answer_then_outage_is_unknown_and_a_repeat_does_not_apply_twice(
     log: FakeLog, clock: FakeClock, peers: FakePeers
 ) -> None:
--- a/tests/node/backend.py
+++ b/tests/node/backend.py
@@ -21,6 +21,7 @@
         self.runs: list[str] = []
         self.headers: list[bytes] = []
         self.work = 0.0
+        self.held: asyncio.Event | None = None
         self.raw_answer: Callable[[str], bytes] | None = None
         self.die_after: bytes | None = None
         self.active = 0
@@ -41,6 +42,8 @@
         self.active += 1
         self.most_active = max(self.most_active, self.active)
         try:
+            if self.held is not None:
+                await self.held.wait()
             if self.work:
                 await self._work(reader)
             writer.write(self._answer(name, body))
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -58,16 +58,20 @@
         assert (system.runs(name) >= 1) == (each.code == 0)
 
 
-async def test_given_up_request_is_answered_before_its_deadline(system: System) -> None:
+async def test_given_up_request_is_answered_before_its_deadline(patient_system: System) -> None:
+    """No work ends before the first answer is read, so that answer cannot be one of them."""
+    system = patient_system
+    held = asyncio.Event()
     for backend in system.backend_by_name.values():
-        backend.work = 0.3
+        backend.held = held
     running = [
         asyncio.ensure_future(system.call(entry(system), f"r{number}")) for number in range(20)
     ]
     done, pending = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
-    first = done.pop().result()
-    assert first.ran == "not-run"
+    assert [each.result().ran for each in done] == ["not-run"] * len(done)
     assert pending
+    assert sum(backend.active for backend in system.backend_by_name.values()) > 0
+    held.set()
     await asyncio.gather(*running)
 
 
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -217,6 +217,29 @@
     assert sum(run.startswith("new") for run in runs) == 20
 
 
+async def test_drain_of_an_id_that_no_node_knows_is_refused_unless_it_is_expected(
+    caller: Caller,
+) -> None:
+    entry = caller.cluster.of(ENTRY_SERVICE)[0]
+    known = caller.cluster.of(SERVICE)[0].name
+
+    async def drain(number: str, name: str, *, expected: bool = False) -> tuple[int, str]:
+        request = pb.SetDrainRequest(
+            header=pb.ChangeHeader(operation_id=number),
+            backend_server=name,
+            drained=True,
+            expected=expected,
+        )
+        reply = await operator_call(entry.operators, lambda stub: stub.SetDrain(request))
+        return reply.code, reply.detail
+
+    code, detail = await drain("1", "nonsense")
+    assert code == 4007
+    assert "'nonsense'" in detail
+    assert await drain("2", "nonsense", expected=True) == (0, "")
+    assert await drain("3", known) == (0, "")
+
+
 async def test_node_has_one_thread_no_child_and_no_shared_memory(caller: Caller) -> None:
     entry = caller.cluster.of(ENTRY_SERVICE)[0]
     for number in range(10):
