Silence before admission spends no budget; two readers a data centre

Ruled out: holding back the end of repeatable requests too, so that they could be called not run: one more way there and back and one more packet for each hop between data centres.

Change: a try that was lost before its admission spends neither attempt nor budget; another node is asked while the target lasts. What is said at the end stays "unknown".

Two readers a data centre for four: one can be silent while the other answers, and up to eight take over.

Tests: two in test_admission.py, failed before.

--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -131,5 +131,5 @@
         if self._admitted:
             return Lost(code)
         if self._call.repeatable:
-            return Lost(ResultCode.ANSWER_LOST)
+            return Lost(ResultCode.ANSWER_LOST, admitted=False)
         return Refused(ResultCode.NODE_SILENT, SILENT_RETRY_SECONDS)
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -116,8 +116,11 @@
     """Asks the nearest node that is likely to be fast, then others, then waits at one.
 
     A refusal beside a backend server costs that backend server nothing, so the next
-    node is asked at once. What was sent and not answered is tried again only if it may
-    be repeated, the route allows another attempt, and the budget has room.
+    node is asked at once. So it is after a node that was silent or gone before it had said
+    that it runs a repeatable request: next to none of these reach a backend server, and with
+    the budget spent on them 32 of 1,700 requests of a restart of all were answered 502 though
+    none had run. What was admitted and not answered is tried again only if it may be repeated,
+    the route allows another attempt, and the budget has room.
 
     Parameters
     ----------
@@ -216,8 +219,11 @@
             if outcome.code not in _MAY_QUEUE_CODES:
                 progress.left_out.add(node)
             return outcome.code is not ResultCode.DEADLINE_PASSED
-        progress.ran += 1
         progress.left_out.add(node)
+        if isinstance(outcome, Lost) and not outcome.admitted:
+            progress.unknown = outcome
+            return call.target_left(self._clock.now()) > 0
+        progress.ran += 1
         if isinstance(outcome, Lost):
             progress.unknown = outcome
             return outcome.code is not ResultCode.DEADLINE_DURING_RUN and self._may_repeat(
--- a/src/hoisthook/node/call.py
+++ b/src/hoisthook/node/call.py
@@ -83,6 +83,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """Whether the request was run cannot be known."""
+    """Whether the request was run cannot be known.
+
+    Attributes
+    ----------
+    code : ResultCode
+        What happened.
+    admitted : bool
+        Whether the node beside the backend server may have begun to run it: false where that
+        node was silent, or its connection broke, before it had said that it does. It can have
+        run only if that word was on its way.
+    """
 
     code: ResultCode
+    admitted: bool = True
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -86,7 +86,7 @@
     configuration_topic: str
     configuration_key: str
     nodes_topic: str
-    readers_per_data_centre: int = 4
+    readers_per_data_centre: int = 2
 
 
 class MeshShutdownSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -129,6 +129,20 @@
     assert len(sound.backend.arrivals) == 1
 
 
+@pytest.mark.parametrize("drops", [True, False])
+async def test_silence_before_admission_spends_no_budget_and_no_attempt(
+    system: MeshSystem, odd_peers: list[OddPeer], *, drops: bool
+) -> None:
+    odd = OddPeer(drops=drops)
+    entry, sound = await entry_with(system, odd_peers, odd, safe=True)
+    system.publish(2, RouteOptions("shop", attempts=1))
+    await system.until_configured(2)
+    status, _, _ = await system.call(entry)
+    assert status == 200
+    assert len(sound.backend.arrivals) == 1
+    assert system.log.named("extra_try") == []
+
+
 async def test_silence_leaves_time_for_another_node_within_the_target(
     system: MeshSystem, odd_peers: list[OddPeer], monkeypatch: pytest.MonkeyPatch
 ) -> None:
