What two nodes cannot reach is known to all of their data centre

Load pattern: a rack, a data centre or all instances lose power and some do not come back.

Cause: each node found each of the gone nodes out by itself.

Change: followers tell a reader, with the question that they ask anyway, whom they could not reach and whom they reached again. Two findings within 5 s make a node suspected, one that reaches it, or a start of its own, clears it; the change is told with the answers. Readers of a data centre ask each other too. A node that has itself heard from the peer within 1.5 s does not believe it.

--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -27,6 +27,7 @@
 from hoisthook.mesh.peer_hop import PeerHop
 from hoisthook.mesh.peer_sync import SYNC_PATH
 from hoisthook.mesh.peer_sync import PeerSync
+from hoisthook.mesh.reader_exchange import ReaderExchange
 from hoisthook.mesh.registration import Registration
 from hoisthook.mesh.routed_dispatcher import RetrySettings
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
@@ -118,9 +119,16 @@
         )
         self.directory = PeerDirectory(self._me(service), log)
         self.sync = PeerSync(
-            self.directory, self.configuration, decode, self._peer_pool, self._randomness, log
+            self.directory,
+            self.configuration,
+            decode,
+            self._peer_pool,
+            clock,
+            self._randomness,
+            log,
         )
         readers = StoreReaders(self.directory, clock, settings.store.readers_per_data_centre)
+        self._reader_exchange = ReaderExchange(readers, self.sync, self._randomness)
         self._registration = Registration(
             settings.store.nodes_topic,
             self.directory,
@@ -179,7 +187,13 @@
         await self._callers.start()
         await self._peers.start()
         self.sync.peer_port = self._peers.address[1]
-        self._run(self._watch.run, self._registration.run, self.sync.run, self._housekeep)
+        self._run(
+            self._watch.run,
+            self._registration.run,
+            self.sync.run,
+            self._reader_exchange.run,
+            self._housekeep,
+        )
         self._log.event(
             "started", service=self.settings.node.service, data_centre=self.directory.me.data_centre
         )
--- a/src/hoisthook/mesh/peer.py
+++ b/src/hoisthook/mesh/peer.py
@@ -21,6 +21,9 @@
 # What is assumed where no report holds any more.
 USUAL_SLOWDOWN = 1.5
 USUAL_LOAD_SHARE = 0.3
+# What this node has heard itself within this time counts for more than what others found: their
+# findings are up to two questions old.
+FRESHER_THAN_HEARSAY_SECONDS = 1.5
 FIRST_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 4.0
 
@@ -97,6 +100,11 @@
         """Note that the peer takes connections; only a report resets the backoff."""
         self.suspected = False
 
+    def others_suspect(self, now: float) -> None:
+        """Suspect the peer on the word of others, unless it has just reported."""
+        if self.age(now) > FRESHER_THAN_HEARSAY_SECONDS:
+            self.suspected = True
+
     def unreachable(self, now: float) -> float:
         """Suspect the peer, to be probed after a while that doubles; return the seconds."""
         self.suspected = True
--- a/src/hoisthook/mesh/peer_directory.py
+++ b/src/hoisthook/mesh/peer_directory.py
@@ -10,11 +10,13 @@
 
 from hoisthook.identity import parse_address
 from hoisthook.membership.news_log import NewsLog
+from hoisthook.membership.suspicion import Findings
 from hoisthook.mesh.peer import PeerView
 
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from hoisthook.identity import NodeId
     from hoisthook.identity import ServiceName
@@ -34,6 +36,8 @@
 
     Attributes
     ----------
+    findings : Findings
+        What this node has found out about others itself.
     digest : int
         Equal in two directories that hold the same nodes.
     listed : asyncio.Event
@@ -43,6 +47,7 @@
     def __init__(self, me: Peer, log: EventLog) -> None:
         self._log = log
         self._news = NewsLog()
+        self.findings = Findings()
         self._by_node: dict[NodeId, PeerView] = {}
         self._by_service: dict[ServiceName, dict[NodeId, PeerView]] = {}
         self.me = me
@@ -70,6 +75,16 @@
         """Return what is believed of all known nodes, this one included."""
         return self._by_node.values()
 
+    def others_suspect(self, nodes: Iterable[NodeId], now: float) -> None:
+        """Suspect nodes on the word of others."""
+        for view in self._known(nodes):
+            view.others_suspect(now)
+
+    def others_reached(self, nodes: Iterable[NodeId]) -> None:
+        """Trust nodes again on the word of others."""
+        for view in self._known(nodes):
+            view.connected()
+
     def others(self) -> list[PeerView]:
         """Return all known nodes but this one."""
         return [view for view in self._by_node.values() if not view.is_self]
@@ -101,6 +116,12 @@
         if node != self.me.node and self._drop(node):
             self._log.event("peer_dropped", peer=node, reason=reason)
 
+    def _known(self, nodes: Iterable[NodeId]) -> Iterator[PeerView]:
+        for node in nodes:
+            view = self._by_node.get(node)
+            if view is not None and not view.is_self:
+                yield view
+
     def _add(self, peer: Peer) -> None:
         view = PeerView(
             peer,
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -4,13 +4,16 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 from typing import Protocol
 
 import msgspec
 
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnreachableError
-from hoisthook.mesh.peer import Peer
+from hoisthook.membership.suspicion import SuspicionTable
+from hoisthook.mesh.sync_messages import SyncQuestion
+from hoisthook.mesh.sync_messages import SyncReply
 from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
 from hoisthook.traffic.configuration_holder import ConfigurationSource
@@ -19,8 +22,11 @@
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
+    from hoisthook.identity import NodeId
+    from hoisthook.mesh.peer import Peer
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_directory import PeerDirectory
+    from hoisthook.port.clock import Clock
     from hoisthook.port.clock import Randomness
     from hoisthook.port.event_log import EventLog
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
@@ -48,56 +54,12 @@
         """Return the configuration, or None if it cannot be read."""
 
 
-class SyncQuestion(msgspec.Struct, frozen=True):
-    """What a node asks of another.
+class _Had(NamedTuple):
+    """What a node has had of another's news."""
 
-    Attributes
-    ----------
-    sender : Peer
-        Who asks; the other takes it in.
-    configuration : int
-        The version it has; -1 for none.
-    wants_news : bool
-        Whether it asks which nodes there are.
-    source : str
-        Names the process whose news it has had up to ``revision``; empty for none.
-    revision : int
-        Of the directory of ``source``.
-    digest : int
-        Of its own directory.
-    """
-
-    sender: Peer
-    configuration: int
-    wants_news: bool = False
     source: str = ""
     revision: int = 0
-    digest: int = 0
-
-
-class SyncReply(msgspec.Struct, frozen=True):
-    """The answer.
-
-    Attributes
-    ----------
-    peers : list of Peer
-        Nodes that the asker may not know: what came after the revision it has had from here,
-        else all, unless its directory is the same.
-    source : str
-        Names the process that replies.
-    revision : int
-        Of its directory.
-    configuration : bytes
-        The newest configuration as published, if newer than the asker's.
-    store_away : bool
-        Whether the store does not answer the node that replies.
-    """
-
-    peers: list[Peer] = []
-    source: str = ""
-    revision: int = 0
-    configuration: bytes = b""
-    store_away: bool = False
+    suspicions: int = 0
 
 
 class PeerSync:
@@ -113,6 +75,8 @@
         Reads a configuration that a peer hands on.
     pool : ClientPool
         Connections to other nodes.
+    clock : Clock
+        Monotonic.
     randomness : Randomness
         Chooses whom to ask.
     log : EventLog
@@ -125,6 +89,7 @@
         configuration: ConfigurationHolder,
         decode: ConfigurationDecoder,
         pool: ClientPool,
+        clock: Clock,
         randomness: Randomness,
         log: EventLog,
     ) -> None:
@@ -135,8 +100,11 @@
         self._randomness = randomness
         self._log = log
         self._asking: asyncio.Task[None] | None = None
-        self._source = f"{randomness.getrandbits(64):016x}"
-        self._had_by_address: dict[Address, tuple[str, int]] = {}
+        self._process = f"{randomness.getrandbits(64):016x}"
+        self._had_by_address: dict[Address, _Had] = {}
+        self._suspicions = SuspicionTable()
+        self._process_by_asker: dict[NodeId, str] = {}
+        self._clock = clock
         self.store_away = False
         self.peer_port = 0
 
@@ -200,16 +168,7 @@
         wants_news : bool
             Whether to ask which nodes there are; a node that knows nobody always does.
         """
-        directory = self._directory
-        source, revision = self._had_by_address.get(address, ("", 0))
-        question = SyncQuestion(
-            directory.me,
-            self.version,
-            wants_news=wants_news or len(directory) == 1,
-            source=source,
-            revision=revision,
-            digest=directory.digest,
-        )
+        question = self._question(address, wants_news=wants_news)
         try:
             connection = await self._pool.acquire(address, CONNECT_SECONDS)
         except UnreachableError as error:
@@ -229,9 +188,28 @@
         self._pool.keep(address, connection)
         reply = self._take(answered[1])
         if reply is not None and question.wants_news:
-            self._had_by_address[address] = (reply.source, reply.revision)
+            had = _Had(reply.source, reply.revision, reply.suspicions)
+            self._had_by_address[address] = had
         return reply
 
+    def _question(self, address: Address, *, wants_news: bool) -> SyncQuestion:
+        directory = self._directory
+        had = self._had_by_address.get(address, _Had())
+        # Only who asks for news is asking a reader, which collects findings.
+        unreachable, reached = directory.findings.tell() if wants_news else ([], [])
+        return SyncQuestion(
+            directory.me,
+            self.version,
+            wants_news=wants_news or len(directory) == 1,
+            process=self._process,
+            source=had.source,
+            revision=had.revision,
+            digest=directory.digest,
+            suspicions=had.suspicions,
+            unreachable=unreachable,
+            reached=reached,
+        )
+
     async def answer(self, exchange: ServerExchange) -> None:
         """Answer a peer's question."""
         try:
@@ -249,16 +227,43 @@
         raw = b""
         if current is not None and current.version > question.configuration:
             raw = current.raw
+        suspected, cleared = self._suspicions_for(question)
         reply = SyncReply(
-            self._news_for(question), self._source, self._directory.revision, raw, self.store_away
+            self._news_for(question),
+            self._process,
+            self._directory.revision,
+            raw,
+            self.store_away,
+            self._suspicions.revision,
+            suspected,
+            cleared,
         )
         exchange.respond(200, [], msgspec.json.encode(reply))
 
+    def _suspicions_for(self, question: SyncQuestion) -> tuple[list[NodeId], list[NodeId]]:
+        """Take in the asker's findings and this node's own; return what is new to the asker."""
+        table = self._suspicions
+        now = self._clock.now()
+        before = table.revision
+        asker = question.sender.node
+        if self._process_by_asker.get(asker) != question.process:
+            # It has just started, so it takes connections again.
+            self._process_by_asker[asker] = question.process
+            table.report(asker, [], [asker], now)
+        table.report(asker, question.unreachable, question.reached, now)
+        table.report(self._directory.me.node, *self._directory.findings.tell(), now)
+        suspected, cleared = table.since(before)
+        self._directory.others_suspect(suspected, now)
+        self._directory.others_reached(cleared)
+        if not question.wants_news:
+            return [], []
+        return table.since(question.suspicions if question.source == self._process else 0)
+
     def _news_for(self, question: SyncQuestion) -> list[Peer]:
         directory = self._directory
         if not question.wants_news or question.digest == directory.digest:
             return []
-        if question.source == self._source:
+        if question.source == self._process:
             return directory.peers_since(question.revision)
         return directory.peers()
 
@@ -269,6 +274,8 @@
             self._log.event("peer_reply_unreadable", reason=str(error))
             return None
         self._directory.merge(reply.peers, "peer")
+        self._directory.others_suspect(reply.suspected, self._clock.now())
+        self._directory.others_reached(reply.cleared)
         if reply.configuration:
             configuration = self._decode(reply.configuration)
             if configuration is not None:
--- a/src/hoisthook/mesh/store_readers.py
+++ b/src/hoisthook/mesh/store_readers.py
@@ -47,6 +47,17 @@
 
     def to_ask(self) -> list[PeerView]:
         """Return the readers to ask; none if this node reads the store itself."""
+        chosen = self._chosen()
+        return [] if any(view.is_self for view in chosen) else chosen
+
+    def others_of_mine(self) -> list[PeerView]:
+        """Return the other readers of this data centre; none if this node is no reader."""
+        chosen = self._chosen()
+        if not any(view.is_self for view in chosen):
+            return []
+        return [view for view in chosen if not view.is_self]
+
+    def _chosen(self) -> list[PeerView]:
         now = self._clock.now()
         near = {
             view.peer.node: view
@@ -55,10 +66,7 @@
         }
         candidates = choose_readers(near, self._count * SPARE_READERS_FACTOR)
         usable = [node for node in candidates if not self._is_passed_over(node, now)]
-        chosen = usable[: self._count] or candidates
-        if self._directory.me.node in chosen:
-            return []
-        return [near[node] for node in chosen]
+        return [near[node] for node in usable[: self._count] or candidates]
 
     def turned_away(self, view: PeerView) -> None:
         """Pass over a reader that says that the store does not answer it."""
--- /dev/null
+++ b/tests/mesh/test_suspicion.py
@@ -0,0 +1,82 @@
+"""Nodes that are gone are found out by few and known to all of a data centre."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hoisthook.identity import ServiceName
+from standin.mesh_system import RouteOptions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.mesh.peer import PeerView
+    from standin.mesh_system import Machine
+    from standin.mesh_system import MeshSystem
+
+SHOP = ServiceName("shop")
+
+
+async def until(condition: Callable[[], bool], seconds: float = 10.0) -> None:
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def view_of(machine: Machine, other: Machine) -> PeerView:
+    wanted = other.node.directory.me.node
+    return next(v for v in machine.node.directory.serving(SHOP) if v.peer.node == wanted)
+
+
+async def entries_and_two_servers(system: MeshSystem) -> tuple[list[Machine], Machine, Machine]:
+    """Return five entries, a backend server's node that stays and one that is gone."""
+    system.readers_per_data_centre = 2
+    entries = [await system.add("front") for _ in range(5)]
+    staying = await system.add("shop")
+    leaving = await system.add("shop", data_centre="two")
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    leaving.crash()
+    system.machines.remove(leaving)
+    return entries, staying, leaving
+
+
+async def test_what_two_nodes_found_out_the_others_need_not(system: MeshSystem) -> None:
+    entries, staying, leaving = await entries_and_two_servers(system)
+    for entry in entries[:2]:
+        # Only the node that is gone is left to be asked.
+        view_of(entry, staying).close_until(asyncio.get_running_loop().time() + 0.2)
+        await system.call(entry)
+    await until(lambda: all(view_of(e, leaving).suspected for e in entries))
+    found = system.log.named("peer_unreachable")
+    assert len([line for line in found if line["peer"] == "node-7"]) <= 3
+    leaving.backend.close()
+
+
+async def test_one_that_reaches_it_again_clears_it_for_all(system: MeshSystem) -> None:
+    entries, _, leaving = await entries_and_two_servers(system)
+    now = asyncio.get_running_loop().time
+    for entry in entries:
+        entry.node.directory.findings.unreachable(leaving.node.directory.me.node)
+    await until(lambda: all(view_of(e, leaving).suspected for e in entries))
+    again = system._make("node-7", "shop", "two", leaving.backend, system.log)
+    again.node._peers._address = leaving.node._peers._address
+    await again.endpoints.start()
+    await again.node.start()
+    system.machines.append(again)
+    entries[0].node._hop.probe(view_of(entries[0], leaving))
+    await until(lambda: not any(view_of(e, leaving).suspected for e in entries))
+    assert view_of(entries[1], leaving).closed_until <= now()
+
+
+async def test_node_that_was_just_heard_from_is_not_suspected_on_hearsay(
+    system: MeshSystem,
+) -> None:
+    entries, staying, _ = await entries_and_two_servers(system)
+    status, _, _ = await system.call(entries[0])
+    assert status == 200
+    name = staying.node.directory.me.node
+    entries[0].node.directory.others_suspect([name], asyncio.get_running_loop().time())
+    assert not view_of(entries[0], staying).suspected
