A node without a configuration asks all its readers at once; one log line for a list

Change: until there is a configuration, all readers are asked at once and the store is read if none has answered within 50 ms. A follower that falls back to the store asks for the newest record rather than wait.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -29,8 +29,12 @@
 SETTLE_SECONDS = 0.4
 # How often a node that does not read asks one that does; well within the bound for a change.
 FOLLOW_SECONDS = 0.6
-# The same while it has no configuration: callers are answered 503 until then.
-FIRST_FOLLOW_SECONDS = 0.1
+# A node without a configuration answers its callers 503. It asks all its readers at once, again
+# after this time, doubled up to the usual, while they have none either, and reads by itself if
+# none has answered within the second one. Asked one after the other, readers that are gone cost
+# the last of 32 nodes 0.25 s after a restart of all.
+FIRST_FOLLOW_SECONDS = 0.03
+FIRST_ANSWER_SECONDS = 0.05
 # A node reads by itself once so many readers in a row have not answered.
 MAX_UNANSWERED = 3
 FIRST_BACKOFF_SECONDS = 0.15
@@ -103,28 +107,51 @@
     async def run(self) -> None:
         """Follow the record until cancelled."""
         await self._listed.wait()
+        await self._get_first()
         while True:
             readers = self._readers.to_ask()
             if readers and self._unanswered < MAX_UNANSWERED:
-                await self._ask(readers[self._randomness.randrange(len(readers))])
+                answered = await self._ask(readers[self._randomness.randrange(len(readers))])
+                self._unanswered = 0 if answered else self._unanswered + 1
+                if answered:
+                    await self._pause(FOLLOW_SECONDS)
             else:
+                if readers:
+                    # Asks for the newest record, rather than waiting for the next.
+                    self._offset = None
                 self._unanswered = 0
                 await self._read()
 
-    async def _ask(self, reader: PeerView) -> None:
+    async def _get_first(self) -> None:
+        """Ask readers until there is a configuration, or this node is a reader itself."""
+        seconds = FIRST_FOLLOW_SECONDS
+        while self._holder.current is None:
+            readers = self._readers.to_ask()
+            if not readers:
+                return
+            loop = asyncio.get_running_loop()
+            asking = [loop.create_task(self._ask(reader)) for reader in readers]
+            answered, _ = await asyncio.wait(asking, timeout=FIRST_ANSWER_SECONDS)
+            if self._holder.current is None and not any(task.result() for task in answered):
+                await self._read()
+            if self._holder.current is None:
+                await self._pause(seconds)
+                seconds = min(FOLLOW_SECONDS, 2 * seconds)
+
+    async def _pause(self, seconds: float) -> None:
+        await asyncio.sleep(seconds * (0.75 + 0.5 * self._randomness.random()))
+
+    async def _ask(self, reader: PeerView) -> bool:
+        """Ask a reader; return whether it answered."""
         reply = await self._sync.ask(reader.address, wants_news=True)
         if reply is None:
-            self._unanswered += 1
             reader.unreachable(self._clock.now())
-            return
-        self._unanswered = 0
+            return False
         if reply.store_away:
             self._readers.turned_away(reader)
         else:
             self._store_answered()
-        has_none = self._holder.current is None
-        seconds = FIRST_FOLLOW_SECONDS if has_none else FOLLOW_SECONDS
-        await asyncio.sleep(seconds * (0.75 + 0.5 * self._randomness.random()))
+        return True
 
     async def _read(self) -> None:
         try:
--- a/src/hoisthook/mesh/peer_directory.py
+++ b/src/hoisthook/mesh/peer_directory.py
@@ -23,6 +23,9 @@
     from hoisthook.mesh.peer import Peer
     from hoisthook.port.event_log import EventLog
 
+# Of a list that is new as a whole, as at a start, the line names only the first.
+MAX_LOGGED_PEERS = 10
+
 
 class PeerDirectory:
     """Registered nodes; each is known by its id, and an address belongs to the newest.
@@ -100,7 +103,7 @@
 
     def merge(self, peers: Iterable[Peer], source: str) -> int:
         """Take in nodes; return how many were new or had changed."""
-        changed = 0
+        added: list[NodeId] = []
         for peer in peers:
             known = self._by_node.get(peer.node)
             if peer.node == self.me.node or (known is not None and known.peer == peer):
@@ -110,11 +113,14 @@
                 continue
             self._drop(peer.node)
             self._add(peer)
-            self._log.event("peer_added", peer=peer.node, service=peer.service, source=source)
-            changed += 1
-        if changed:
+            added.append(peer.node)
+        if added:
             self.listed.set()
-        return changed
+            # One line however many they are: 195 lines at each start took 4.3 ms of processor time.
+            self._log.event(
+                "peers_added", count=len(added), peers=added[:MAX_LOGGED_PEERS], source=source
+            )
+        return len(added)
 
     def forget(self, node: NodeId, reason: str) -> None:
         """Drop a node."""
