A node whose backend server is gone is asked less and less

Load pattern: after a restart of all, nodes are back beside machines whose backend server is not.

Change: the entry leaves such a node alone twice as long each time, 4 s at most, until it serves a request.

--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -40,7 +40,6 @@
     {
         ResultCode.BACKEND_SERVER_DRAINING,
         ResultCode.NODE_STOPPING,
-        ResultCode.UNREACHABLE,
     }
 )
 _FRAMING = frozenset({b"content-length"})
@@ -113,10 +112,18 @@
                 outcome = await self._run_remote(view, call, admission)
         finally:
             view.ended()
-        if isinstance(outcome, Refused) and outcome.code in _CLOSING_CODES:
-            view.close_until(self._clock.now() + outcome.retry_after)
+        self._note(view, outcome)
         return outcome
 
+    def _note(self, view: PeerView, outcome: Outcome) -> None:
+        now = self._clock.now()
+        if isinstance(outcome, WholeAnswer):
+            view.served()
+        elif isinstance(outcome, Refused) and outcome.code is ResultCode.UNREACHABLE:
+            view.backend_server_away(outcome.retry_after, now)
+        elif isinstance(outcome, Refused) and outcome.code in _CLOSING_CODES:
+            view.close_until(now + outcome.retry_after)
+
     async def _run_remote(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
         connection = await self._connect(view)
         if isinstance(connection, Refused):
--- a/tests/routing/test_peer_choice.py
+++ b/tests/routing/test_peer_choice.py
@@ -100,3 +100,17 @@
     probes = [choice.to_probe(call(), NOW) for _ in range(1000)]
     assert 50 < sum(probe is suspect for probe in probes) < 150
     assert all(choice.direct(call(), (), NOW) is not suspect for _ in range(100))
+
+
+def test_node_without_a_backend_server_is_asked_less_and_less_until_it_serves() -> None:
+    view = next(iter(fleet(near=1, far=0).serving(SHOP)))
+    closed = []
+    now = NOW
+    for _ in range(6):
+        view.backend_server_away(0.3, now)
+        closed.append(round(view.closed_until - now, 3))
+        now = view.closed_until
+    assert closed == [0.3, 0.6, 1.2, 2.4, 4.0, 4.0]
+    view.served()
+    view.backend_server_away(0.3, now)
+    assert round(view.closed_until - now, 3) == 0.3
