--- a/tests/mesh/test_store_calls.py
+++ b/tests/mesh/test_store_calls.py
@@ -11,7 +11,6 @@
 from hoisthook.identity import parse_address
 from hoisthook.mesh import configuration_watch
 from hoisthook.mesh import registration
-from hoisthook.mesh.store_readers import SPARE_READERS_FACTOR
 from hoisthook.result_code import ResultCode
 from standin.mesh_store import Outage
 from standin.mesh_system import RouteOptions
@@ -93,7 +92,8 @@
     system.store.topic("keyed.op").grown.set()
     await asyncio.sleep(3.0)
     callers = [m for m in system.machines if m.node.sync.store_away]
-    assert 1 <= len(callers) <= SPARE_READERS_FACTOR
+    # One reader, and four times as many that may take its place.
+    assert 1 <= len(callers) <= 4
 
 
 async def test_new_node_is_known_to_all_by_the_readers_alone(system: MeshSystem) -> None:
