The metrics library is loaded when the metrics are first asked for

Load pattern: all instances lose power and come back; until a node has started its callers are served by nobody.

Change: counts are kept in plain form and handed to the library at the first question, or after 10,000 answers. Import of the program (medians of three): 205 to 159 ms, peak 29.8 to 26.5 MB.

Ruled out: loading it some seconds after the start, which would hold every node for as long while its backend server is cold.

Tests: counts go on after the first question, kept times are bounded, a start does not load it.

--- a/src/hoisthook/adapter/metered_log.py
+++ b/src/hoisthook/adapter/metered_log.py
@@ -2,30 +2,28 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import cast
 
-from prometheus_client import CollectorRegistry
-from prometheus_client import Counter
-from prometheus_client import Gauge
-from prometheus_client import Histogram
-from prometheus_client import generate_latest
-
 if TYPE_CHECKING:
+    from hoisthook.adapter.meters import Meters
     from hoisthook.mesh.node_status import NodeStatus
     from hoisthook.port.event_log import EventLog
 
-# Seconds; from a hop's time to beyond the longest timeout of the users' routes.
-LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0)
 ANSWERED = "answered"
 NOT_ADMITTED = "not_admitted"
 EXTRA_TRY = "extra_try"
+# Times of answers that are kept until the metrics are asked for: a few hundred kilobytes.
+MAX_KEPT_TIMES = 10_000
 
 
 class MeteredLog:
     """An `EventLog` that hands lines on and counts them.
 
-    A decision beyond the log's bound is counted here all the same.
+    A decision beyond the log's bound is counted here all the same. The metrics library is
+    loaded when the metrics are first asked for: at the start it took 46 of 205 ms of processor
+    time and 3.3 of 29.8 MB (medians of three), during which a node that comes back serves nobody.
 
     Parameters
     ----------
@@ -35,44 +33,29 @@
 
     def __init__(self, log: EventLog) -> None:
         self._log = log
-        self.registry = CollectorRegistry()
-        self._events = self._counter("events", "Changes of belief by name.", "event")
-        self._answers = self._counter("answers", "Callers' requests by result code.", "code")
-        self._not_admitted = self._counter(
-            "not_admitted", "Requests not admitted beside, by result code.", "code"
-        )
-        self._extra_tries = self._counter(
-            "extra_tries", "Extra tries asked of the budget, by whether granted.", "granted"
-        )
-        self._lost = self._counter(
-            "lost", "Requests sent with nothing known of their outcome, by where.", "where"
-        )
-        self._seconds = Histogram(
-            "hoisthook_answer_seconds",
-            "Time from a caller's request to its answer, by result code.",
-            ["code"],
-            buckets=LATENCY_BUCKETS,
-            registry=self.registry,
-        )
-        self._gauge_by_name: dict[str, Gauge] = {}
+        self._meters: Meters | None = None
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._times: list[tuple[str, float]] = []
 
     def event(self, name: str, **fields: object) -> None:
         """Note something that changes what the process believes."""
-        self._events.labels(name).inc()
+        self._counts["events", name] += 1
         self._log.event(name, **fields)
 
     def decision(self, name: str, **fields: object) -> None:
         """Note a decision that touches one request."""
         if name == ANSWERED:
             code = str(fields["code"])
-            self._answers.labels(code).inc()
-            self._seconds.labels(code).observe(cast("float", fields["took_ms"]) / 1000.0)
+            self._counts["answers", code] += 1
+            self._times.append((code, cast("float", fields["took_ms"]) / 1000.0))
+            if len(self._times) >= MAX_KEPT_TIMES:
+                self._fold()
         elif name == NOT_ADMITTED:
-            self._not_admitted.labels(str(fields["code"])).inc()
+            self._counts["not_admitted", str(fields["code"])] += 1
         elif name == EXTRA_TRY:
-            self._extra_tries.labels(str(fields["granted"]).lower()).inc()
+            self._counts["extra_tries", str(fields["granted"]).lower()] += 1
         else:
-            self._lost.labels(name).inc()
+            self._counts["lost", name] += 1
         self._log.decision(name, **fields)
 
     def text(self, status: NodeStatus) -> bytes:
@@ -83,39 +66,18 @@
         status : NodeStatus
             Shown as gauges.
         """
-        for name, value in (
-            ("ready", float(status.ready)),
-            ("running", float(status.running)),
-            ("waiting", float(status.waiting)),
-            ("limit", float(status.limit)),
-            ("slowdown", status.slowdown),
-            ("configuration_version", float(status.configuration)),
-            ("peers", float(status.peers)),
-            ("store_away", float(status.store_away)),
-            ("backend_connections", float(status.backend_connections)),
-        ):
-            self._gauge(name).set(value)
-        return generate_latest(self.registry)
-
-    def _counter(self, name: str, meaning: str, label: str) -> Counter:
-        return Counter(f"hoisthook_{name}", meaning, [label], registry=self.registry)
-
-    def _gauge(self, name: str) -> Gauge:
-        gauge = self._gauge_by_name.get(name)
-        if gauge is None:
-            gauge = Gauge(f"hoisthook_{name}", _GAUGE_MEANINGS[name], registry=self.registry)
-            self._gauge_by_name[name] = gauge
-        return gauge
-
-
-_GAUGE_MEANINGS = {
-    "ready": "Whether callers may be sent here.",
-    "running": "Requests that hold a slot of the backend server beside.",
-    "waiting": "Requests that wait for one.",
-    "limit": "How many may run there at once.",
-    "slowdown": "How many times its usual time work takes there.",
-    "configuration_version": "Version of the configuration in force; -1 for none.",
-    "peers": "Other nodes that are known.",
-    "store_away": "Whether the platform's store does not answer.",
-    "backend_connections": "Connections opened to the backend server since the start.",
-}
+        return self._fold().text(status)
+
+    def _fold(self) -> Meters:
+        """Hand what was counted to the metrics library."""
+        if self._meters is None:
+            from hoisthook.adapter.meters import Meters
+
+            self._meters = Meters()
+        for (counter, label), times in self._counts.items():
+            self._meters.count(counter, label, times)
+        self._counts.clear()
+        for code, seconds in self._times:
+            self._meters.answered(code, seconds)
+        self._times.clear()
+        return self._meters
--- /dev/null
+++ b/src/hoisthook/adapter/meters.py
@@ -0,0 +1,90 @@
+"""Counters, histograms and gauges of a node, as the metrics library keeps them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+from prometheus_client import generate_latest
+
+if TYPE_CHECKING:
+    from hoisthook.mesh.node_status import NodeStatus
+
+# Seconds; from a hop's time to beyond the longest timeout of the users' routes.
+LATENCY_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.0, 4.0)
+# What each counter counts, and by what.
+_COUNTERS = {
+    "events": ("Changes of belief by name.", "event"),
+    "answers": ("Callers' requests by result code.", "code"),
+    "not_admitted": ("Requests not admitted beside, by result code.", "code"),
+    "extra_tries": ("Extra tries asked of the budget, by whether granted.", "granted"),
+    "lost": ("Requests sent with nothing known of their outcome, by where.", "where"),
+}
+
+
+class Meters:
+    """Everything that the metrics address shows."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._counter_by_name = {
+            name: Counter(f"hoisthook_{name}", meaning, [label], registry=self._registry)
+            for name, (meaning, label) in _COUNTERS.items()
+        }
+        self._seconds = Histogram(
+            "hoisthook_answer_seconds",
+            "Time from a caller's request to its answer, by result code.",
+            ["code"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self._gauge_by_name = {
+            name: Gauge(f"hoisthook_{name}", meaning, registry=self._registry)
+            for name, meaning in _GAUGE_MEANINGS.items()
+        }
+
+    def count(self, counter: str, label: str, times: int) -> None:
+        """Add to a counter."""
+        self._counter_by_name[counter].labels(label).inc(times)
+
+    def answered(self, code: str, seconds: float) -> None:
+        """Take in how long a request took."""
+        self._seconds.labels(code).observe(seconds)
+
+    def text(self, status: NodeStatus) -> bytes:
+        """Return all metrics as text.
+
+        Parameters
+        ----------
+        status : NodeStatus
+            Shown as gauges.
+        """
+        for name, value in (
+            ("ready", float(status.ready)),
+            ("running", float(status.running)),
+            ("waiting", float(status.waiting)),
+            ("limit", float(status.limit)),
+            ("slowdown", status.slowdown),
+            ("configuration_version", float(status.configuration)),
+            ("peers", float(status.peers)),
+            ("store_away", float(status.store_away)),
+            ("backend_connections", float(status.backend_connections)),
+        ):
+            self._gauge_by_name[name].set(value)
+        return generate_latest(self._registry)
+
+
+_GAUGE_MEANINGS = {
+    "ready": "Whether callers may be sent here.",
+    "running": "Requests that hold a slot of the backend server beside.",
+    "waiting": "Requests that wait for one.",
+    "limit": "How many may run there at once.",
+    "slowdown": "How many times its usual time work takes there.",
+    "configuration_version": "Version of the configuration in force; -1 for none.",
+    "peers": "Other nodes that are known.",
+    "store_away": "Whether the platform's store does not answer.",
+    "backend_connections": "Connections opened to the backend server since the start.",
+}
--- a/tests/adapter/test_metered_log.py
+++ b/tests/adapter/test_metered_log.py
@@ -1,12 +1,20 @@
 from __future__ import annotations
 
+import os
 import re
+import subprocess
+import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
+from hoisthook.adapter import metered_log
 from hoisthook.adapter.metered_log import MeteredLog
 from hoisthook.mesh.node_status import NodeStatus
 from standin.mesh_system import ListLog
 
+if TYPE_CHECKING:
+    import pytest
+
 STATUS = NodeStatus(
     ready=True,
     backend_state="ready",
@@ -19,7 +27,8 @@
     store_away=False,
     backend_connections=4,
 )
-DOCS = Path(__file__).parent.parent.parent / "docs"
+ROOT = Path(__file__).parent.parent.parent
+DOCS = ROOT / "docs"
 
 
 def metered() -> tuple[MeteredLog, ListLog]:
@@ -49,6 +58,38 @@
     assert "hoisthook_ready 1.0" in text
 
 
+def test_counts_go_on_after_the_metrics_were_asked_for() -> None:
+    log, _ = metered()
+    log.text(STATUS)
+    log.decision("answered", request="4", code=0, took_ms=30.0)
+    text = log.text(STATUS).decode()
+    assert 'hoisthook_answers_total{code="0"} 2.0' in text
+    assert 'hoisthook_answer_seconds_count{code="0"} 2.0' in text
+    assert 'hoisthook_events_total{event="store_lost"} 1.0' in text
+
+
+def test_kept_times_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(metered_log, "MAX_KEPT_TIMES", 10)
+    log = MeteredLog(ListLog())
+    for number in range(25):
+        log.decision("answered", request=str(number), code=0, took_ms=1.0)
+    assert len(log._times) < 10
+    assert 'hoisthook_answer_seconds_count{code="0"} 25.0' in log.text(STATUS).decode()
+
+
+def test_start_of_a_node_does_not_load_the_metrics_library() -> None:
+    program = "import sys, hoisthook_platform.main; print('prometheus_client' in sys.modules)"
+    paths = os.pathsep.join(str(ROOT / name) for name in ("src", "platform"))
+    done = subprocess.run(
+        [sys.executable, "-c", program],
+        env={**os.environ, "PYTHONPATH": paths},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout.strip() == "False"
+
+
 def test_metrics_page_names_every_metric_and_no_other() -> None:
     log, _ = metered()
     shown = set(re.findall(r"^# TYPE (\w+) ", log.text(STATUS).decode(), re.MULTILINE))
