--- a/src/hoisthook/membership/suspicion.py
+++ b/src/hoisthook/membership/suspicion.py
@@ -78,7 +78,8 @@
 
     Load pattern: a rack, a data centre or all instances lose power and some do not come back.
     Each node finds each of them out by a request that waits for 100 ms: with 40 of 195 gone and
-    five tries a second that takes a node 40 s, told by others two (both worked out). A suspicion costs a node that is sound no more than the probe that clears it for all.
+    five tries a second that takes a node 40 s, told by others two (both worked out). A suspicion
+    costs a node that is sound no more than the probe that clears it for all.
     """
 
     def __init__(self) -> None:
