--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -77,7 +77,7 @@
 
     def start_now(self, demand: Demand) -> Ruling:
         """Rule on a request that may only start at once."""
-        if not self._gate.has_room:
+        if not self._gate.has_room_for(demand):
             self._note_turned_away(demand)
             return Ruling(self._why_no_room(), self.time_to_start(demand))
         if self._gate.is_stalled or not self._gate.ends_in_time(demand):
@@ -121,8 +121,8 @@
         return max(MIN_RETRY_AFTER_SECONDS, start - self._clock.now())
 
     def _why_no_room(self) -> Verdict:
-        is_bound = self._gate.cold.room(self._clock.now()) <= 0
-        return Verdict.COLD if is_bound else Verdict.FULL
+        is_full = self._gate.running >= self._gate.limit
+        return Verdict.FULL if is_full or self._gate.cold.limit is None else Verdict.COLD
 
     def _note_turned_away(self, demand: Demand) -> None:
         now = self._clock.now()
--- a/src/hoisthook/admission/admitter.py
+++ b/src/hoisthook/admission/admitter.py
@@ -124,6 +124,10 @@
         spread = self._work.spread(route, target)
         return Demand(priority, received + target, deadline, work, spread)
 
+    def arrived(self, demand: Demand) -> None:
+        """Note a request, whatever becomes of it."""
+        self.gate.urgent.arrived(demand.priority, self._clock.now())
+
     async def renew(self, demand: Demand) -> None:
         """Read the load if that could change what is decided about a request."""
         is_bound = self.gate.cold.is_read_worthwhile(self._clock.now())
@@ -161,7 +165,7 @@
             Told for how many seconds at most, if it is.
         """
         until = self.policy.waits_until(demand) if may_wait else self._clock.now()
-        if may_wait and not (self.gate.has_room and self.gate.starts_well(demand)):
+        if may_wait and not (self.gate.has_room_for(demand) and self.gate.starts_well(demand)):
             self._read_while_holding()
             if waiting is not None:
                 waiting(max(0.0, until - self._clock.now()))
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -10,6 +10,7 @@
 
 from hoisthook.admission.cold_limit import ColdLimit
 from hoisthook.admission.pressure import Pressure
+from hoisthook.admission.urgent_arrivals import UrgentArrivals
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,6 +38,8 @@
         What it was expected to take.
     usual : float
         What it would take outside a slow moment.
+    priority : int
+        Rank of the request.
     is_sent : bool
         Whether the request has been sent.
     """
@@ -44,6 +47,7 @@
     ends: float
     work: float
     usual: float
+    priority: int = 0
     is_sent: bool = False
 
 
@@ -76,6 +80,8 @@
     ----------
     cold : ColdLimit
         How many may be sent in a second while the server is cold.
+    urgent : UrgentArrivals
+        How much of that is kept for what is more urgent.
     """
 
     def __init__(self, limit: int, speed: ServerSpeed, clock: Clock) -> None:
@@ -83,6 +89,7 @@
         self._speed = speed
         self._clock = clock
         self.cold = ColdLimit(clock.now())
+        self.urgent = UrgentArrivals()
         self.pressure = Pressure()
         self._waiters: list[_Waiter] = []
         self._running: set[Slot] = set()
@@ -108,6 +115,20 @@
         """Return whether a slot is free and nobody waits for one."""
         return self._may_start and not self._waiters
 
+    def has_room_for(self, demand: Demand) -> bool:
+        """Return whether there is room that is not kept for something more urgent."""
+        return self.has_room and self._is_not_kept_from(demand)
+
+    def _is_not_kept_from(self, demand: Demand) -> bool:
+        return self.cold.room(self._clock.now()) > self._kept_from(demand)
+
+    def _kept_from(self, demand: Demand) -> int:
+        now = self._clock.now()
+        limit = self.cold.limit
+        if limit is None or not self.cold.is_cold(now):
+            return 0
+        return self.urgent.kept_from(demand.priority, limit, now)
+
     @property
     def is_holding(self) -> bool:
         """Return whether requests wait although slots are free, for a slow moment to end."""
@@ -166,7 +187,7 @@
         heapq.heapify(ends)
         start = self._next_start(ends)
         mine = self._order(demand, now)
-        ahead = 0
+        ahead = self._kept_from(demand)
         for waiter in self._waiters:
             if self._order(waiter.demand, now) <= mine:
                 heapq.heappush(ends, start + self._speed.seconds_usual(waiter.demand.work, now))
@@ -194,7 +215,7 @@
         Slot or None
             What `leave` gives back; None if no slot was got.
         """
-        if self.has_room and self.starts_well(demand):
+        if self.has_room_for(demand) and self.starts_well(demand):
             return self._take(demand)
         now = self._clock.now()
         if until <= now:
@@ -225,11 +246,16 @@
         if not slot.is_sent:
             slot.is_sent = True
             self.cold.sent(self._clock.now())
+            self.urgent.sent(slot.priority, self._clock.now())
 
     def admit(self) -> None:
         """Give free slots to those that wait, as far as they may start at this moment."""
         while self._waiters and self._may_start:
-            startable = [w for w in self._waiters if self.starts_well(w.demand)]
+            startable = [
+                w
+                for w in self._waiters
+                if self._is_not_kept_from(w.demand) and self.starts_well(w.demand)
+            ]
             if not startable:
                 return
             now = self._clock.now()
@@ -252,7 +278,8 @@
     def _take(self, demand: Demand) -> Slot:
         now = self._clock.now()
         seconds = self._speed.seconds_now(demand.work, now)
-        slot = Slot(now + seconds, seconds, self._speed.seconds_usual(demand.work, now))
+        usual = self._speed.seconds_usual(demand.work, now)
+        slot = Slot(now + seconds, seconds, usual, demand.priority)
         self._running.add(slot)
         self.cold.reserve()
         return slot
--- /dev/null
+++ b/src/hoisthook/beside/backend_exchange.py
@@ -0,0 +1,222 @@
+"""Sends admitted requests to the backend server beside, and learns from its answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hoisthook.admission.running_requests import RunningRequest
+from hoisthook.exceptions import UnreachableError
+from hoisthook.mesh.health_reader import CONNECT_SECONDS
+from hoisthook.mesh.health_reader import UNREACHABLE_SECONDS
+from hoisthook.mesh.outcome import WholeAnswer
+from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.node.call import Lost
+from hoisthook.node.call import Refused
+from hoisthook.port.backend_wire import AnswerKind
+from hoisthook.port.backend_wire import BackendRequestHead
+from hoisthook.result_code import ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from hoisthook.adapter.http.client_connection import ClientConnection
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.admission.admitter import Stay
+    from hoisthook.admission.running_requests import RunningRequests
+    from hoisthook.admission.server_speed import ServerSpeed
+    from hoisthook.identity import Address
+    from hoisthook.mesh.backend_belief import BackendBelief
+    from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.port.backend_wire import BackendWire
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+
+FAILURE_STATUS = 500
+# A request whose connection drops within this share of its usual work time was not worked on.
+DROPPED_SHARE_OF_WORK = 0.1
+REPLACED_RETRY_SECONDS = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Exchanged:
+    """What became of a request that was admitted.
+
+    Attributes
+    ----------
+    outcome : WholeAnswer, Refused or Lost
+        The last word.
+    seconds : float
+        How long that took.
+    """
+
+    outcome: Outcome
+    seconds: float = 0.0
+
+
+class BackendExchanges:
+    """One request and its answer at a time on each connection to the backend server.
+
+    Parameters
+    ----------
+    address : Address
+        Where it listens.
+    wire : BackendWire
+        How it is spoken to.
+    pool : ClientPool
+        Connections to it.
+    belief : BackendBelief
+        Told of answers and losses.
+    speed : ServerSpeed
+        Told of its load.
+    running : RunningRequests
+        Told of what runs there.
+    clock : Clock
+        Monotonic, the loop's own.
+    log : EventLog
+        Gets a line for each answer and each loss.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        wire: BackendWire,
+        pool: ClientPool,
+        belief: BackendBelief,
+        speed: ServerSpeed,
+        running: RunningRequests,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._address = address
+        self._wire = wire
+        self._pool = pool
+        self._belief = belief
+        self._speed = speed
+        self._running = running
+        self._clock = clock
+        self._log = log
+
+    async def connect(self) -> ClientConnection | Refused:
+        """Return a connection, or why there is none."""
+        connection = self._pool.take_idle(self._address)
+        if connection is not None:
+            return connection
+        try:
+            return await self._pool.open(self._address, CONNECT_SECONDS)
+        except UnreachableError:
+            self._belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
+            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_SECONDS)
+
+    async def run(
+        self,
+        call: RoutedCall,
+        connection: ClientConnection,
+        *,
+        stay: Stay,
+        sent: Callable[[], None],
+    ) -> Exchanged:
+        """Send a request and take in its answer.
+
+        Parameters
+        ----------
+        call : RoutedCall
+            Admitted.
+        connection : ClientConnection
+            Idle.
+        stay : Stay
+            What it was admitted to.
+        sent : callable
+            Told when it goes out.
+        """
+        started = self._clock.now()
+        reused = connection.exchanges > 0
+        time_left = call.time_left(started)
+        if time_left <= 0:
+            self._pool.keep(self._address, connection)
+            return Exchanged(Refused(ResultCode.DEADLINE_PASSED, 0.0))
+        sent()
+        answered = await self._exchange(call, connection, time_left)
+        seconds = self._clock.now() - started
+        if isinstance(answered, Lost):
+            at_once = seconds < DROPPED_SHARE_OF_WORK * stay.work
+            self._note_lost(call, answered, seconds, at_once=at_once, reused=reused)
+            return Exchanged(answered, seconds)
+        self._pool.keep(self._address, connection)
+        head, body = answered
+        outcome = self._read_answer(call, head, body)
+        self._log.decision(
+            "backend_answered",
+            request=call.request_id,
+            status=head.status,
+            took_ms=round(seconds * 1000.0, 1),
+            expected_ms=round(stay.slot.work * 1000.0, 1),
+        )
+        return Exchanged(outcome, seconds)
+
+    async def _exchange(
+        self, call: RoutedCall, connection: ClientConnection, time_left: float
+    ) -> tuple[AnswerHead, bytes] | Lost:
+        added = self._wire.added_headers(
+            BackendRequestHead(self._belief.instance, call.caller_service, time_left)
+        )
+        running = RunningRequest(call.request_id, call.route, call.priority)
+        self._running.begin(running)
+        try:
+            return await exchange_whole(
+                connection,
+                call.method,
+                call.target,
+                [*call.headers, *added],
+                call.body,
+                timeout=time_left,
+                accepts=lambda head: self._wire.answers(head, call.request_id),
+            )
+        finally:
+            self._running.end(running)
+
+    def _note_lost(
+        self, call: RoutedCall, lost: Lost, seconds: float, *, at_once: bool, reused: bool
+    ) -> None:
+        if lost.code is not ResultCode.DEADLINE_DURING_RUN:
+            self._note_broken(at_once=at_once, reused=reused)
+        self._log.decision(
+            "backend_lost",
+            request=call.request_id,
+            code=lost.code.number,
+            instance=self._belief.instance,
+            took_ms=round(seconds * 1000.0, 1),
+        )
+
+    def _note_broken(self, *, at_once: bool, reused: bool) -> None:
+        if not at_once:
+            self._belief.answered(failed=True)
+        elif reused:
+            # It has let go of this idle connection, and so perhaps of the others.
+            self._pool.forget(self._address)
+        else:
+            self._belief.dropped(self._clock.now())
+
+    def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
+        reading = self._wire.read(head)
+        if reading.load is not None:
+            self._belief.loaded(reading.load)
+            self._speed.moments.reported(reading.load.slowdown, self._clock.now())
+        match reading.kind:
+            case AnswerKind.OTHER_INSTANCE:
+                if reading.instance is not None:
+                    self._belief.answered_as(reading.instance)
+                return Refused(ResultCode.BACKEND_SERVER_REPLACED, REPLACED_RETRY_SECONDS)
+            case AnswerKind.NOT_RUN:
+                return Refused(ResultCode.BACKEND_SERVER_SHED, 0.0)
+            case AnswerKind.SPOILED:
+                self._belief.answered(failed=True)
+                self._log.decision(
+                    "backend_spoiled", request=call.request_id, status=head.status, bytes=len(body)
+                )
+                return Lost(ResultCode.ANSWER_SPOILED)
+            case AnswerKind.OWN:
+                self._belief.answered(failed=head.status >= FAILURE_STATUS)
+                return WholeAnswer(head.status, reading.headers, body)
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -7,21 +7,18 @@
 
 from hoisthook.admission.admission_policy import Verdict
 from hoisthook.admission.admitter import Admitter
+from hoisthook.admission.running_requests import RunningRequests
 from hoisthook.admission.server_speed import ServerSpeed
-from hoisthook.exceptions import UnreachableError
+from hoisthook.beside.backend_exchange import FAILURE_STATUS
+from hoisthook.beside.backend_exchange import BackendExchanges
 from hoisthook.mesh.backend_belief import BackendBelief
 from hoisthook.mesh.backend_belief import BackendState
 from hoisthook.mesh.beside_load import BesideLoad
-from hoisthook.mesh.health_reader import CONNECT_SECONDS
-from hoisthook.mesh.health_reader import UNREACHABLE_SECONDS
 from hoisthook.mesh.health_reader import HealthReader
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import WholeAnswer
-from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
-from hoisthook.port.backend_wire import AnswerKind
-from hoisthook.port.backend_wire import BackendRequestHead
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -30,7 +27,6 @@
 
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
-    from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.admission.admission_policy import Ruling
     from hoisthook.admission.admitter import Stay
     from hoisthook.admission.demand import Demand
@@ -49,9 +45,6 @@
 DRAINING_RETRY_SECONDS = 1.0
 # A data centre is taken back without notice; who does not know of its evacuation asks again soon.
 EVACUATED_RETRY_SECONDS = 0.3
-FAILURE_STATUS = 500
-# A request whose connection drops within this share of its usual work time was not worked on.
-DROPPED_SHARE_OF_WORK = 0.1
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -101,6 +94,8 @@
 
     Attributes
     ----------
+    running : RunningRequests
+        What runs there, by which its calls are told.
     leaving : bool
         Whether only what no other node can start is admitted.
     stopping : bool
@@ -121,12 +116,15 @@
         log: EventLog,
     ) -> None:
         self._address = address
-        self._wire = wire
         self._pool = pool
         self._clock = clock
         self._log = log
         self._speed = ServerSpeed()
+        self.running = RunningRequests()
         self.belief = BackendBelief(log)
+        self._exchanges = BackendExchanges(
+            address, wire, pool, self.belief, self._speed, self.running, clock, log
+        )
         self.health = HealthReader(address, wire, pool, self.belief, self._speed, clock, log)
         self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.belief.on_replaced(self._replaced)
@@ -210,6 +208,9 @@
         elif self.belief.takes_work:
             await self._admitter.renew(demand)
         may_wait = admission is Admission.QUEUE
+        if not may_wait:
+            # Once for each node that is asked; it may come back to wait.
+            self._admitter.arrived(demand)
         refused = self._refuse(call, demand, may_wait=may_wait)
         if refused is None:
             stay = await self._admitter.enter(
@@ -271,7 +272,7 @@
         try:
             if admitted is not None:
                 await admitted()
-            connection = await self._connect(call)
+            connection = await self._exchanges.connect()
             if isinstance(connection, Refused):
                 return connection
             refused = self._refuse_late()
@@ -282,105 +283,23 @@
         finally:
             self._admitter.leave(stay)
 
-    async def _connect(self, call: RoutedCall) -> ClientConnection | Refused:
-        connection = self._pool.take_idle(self._address)
-        if connection is not None:
-            return connection
-        try:
-            return await self._pool.open(self._address, CONNECT_SECONDS)
-        except UnreachableError:
-            self.belief.unreachable(self._clock.now(), UNREACHABLE_SECONDS)
-            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_SECONDS)
-
     async def _exchange(
         self, call: RoutedCall, stay: Stay, connection: ClientConnection
     ) -> Outcome:
-        started = self._clock.now()
-        reused = connection.exchanges > 0
-        instance = self.belief.instance
-        time_left = call.time_left(started)
-        if time_left <= 0:
-            self._pool.keep(self._address, connection)
-            return Refused(ResultCode.DEADLINE_PASSED, 0.0)
-        added = self._wire.added_headers(
-            BackendRequestHead(instance, call.caller_service, time_left)
+        exchanged = await self._exchanges.run(
+            call, connection, stay=stay, sent=lambda: self._admitter.sent(stay)
         )
-        self._admitter.sent(stay)
-        answered = await exchange_whole(
-            connection,
-            call.method,
-            call.target,
-            [*call.headers, *added],
-            call.body,
-            timeout=time_left,
-            accepts=lambda head: self._wire.answers(head, call.request_id),
-        )
-        took = self._clock.now() - started
-        if isinstance(answered, Lost):
-            self._note_lost(call, stay, answered, took, reused=reused)
-            return answered
-        self._pool.keep(self._address, connection)
-        head, body = answered
-        outcome = self._read_answer(call, head, body)
+        outcome = exchanged.outcome
         if isinstance(outcome, WholeAnswer) and outcome.status < FAILURE_STATUS:
-            self._admitter.worked(stay, took)
-        self._log.decision(
-            "backend_answered",
-            request=call.request_id,
-            status=head.status,
-            took_ms=round(took * 1000.0, 1),
-            expected_ms=round(stay.slot.work * 1000.0, 1),
-        )
+            self._admitter.worked(stay, exchanged.seconds)
+        elif isinstance(outcome, Lost) and outcome.code is ResultCode.DEADLINE_DURING_RUN:
+            self._admitter.gave_up(stay, exchanged.seconds)
+        # The answer may have told of slots, or of another incarnation.
+        self._adapt()
+        if isinstance(outcome, Refused) and outcome.code is ResultCode.BACKEND_SERVER_SHED:
+            return Refused(outcome.code, self._time_to_slot(call))
         return outcome
 
-    def _note_lost(
-        self, call: RoutedCall, stay: Stay, lost: Lost, took: float, *, reused: bool
-    ) -> None:
-        at_once = took < DROPPED_SHARE_OF_WORK * stay.work
-        if lost.code is ResultCode.DEADLINE_DURING_RUN:
-            self._admitter.gave_up(stay, took)
-        else:
-            self._note_broken(at_once=at_once, reused=reused)
-        self._log.decision(
-            "backend_lost",
-            request=call.request_id,
-            code=lost.code.number,
-            instance=self.belief.instance,
-            took_ms=round(took * 1000.0, 1),
-        )
-
-    def _note_broken(self, *, at_once: bool, reused: bool) -> None:
-        if not at_once:
-            self.belief.answered(failed=True)
-        elif reused:
-            # It has let go of this idle connection, and so perhaps of the others.
-            self._pool.forget(self._address)
-        else:
-            self.belief.dropped(self._clock.now())
-
-    def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
-        reading = self._wire.read(head)
-        if reading.load is not None:
-            self.belief.loaded(reading.load)
-            self._speed.moments.reported(reading.load.slowdown, self._clock.now())
-            self._adapt()
-        match reading.kind:
-            case AnswerKind.OTHER_INSTANCE:
-                if reading.instance is not None:
-                    self.belief.answered_as(reading.instance)
-                return Refused(ResultCode.BACKEND_SERVER_REPLACED, MIN_RETRY_AFTER_SECONDS)
-            case AnswerKind.NOT_RUN:
-                return Refused(ResultCode.BACKEND_SERVER_SHED, self._time_to_slot(call))
-            case AnswerKind.SPOILED:
-                self.belief.answered(failed=True)
-                self._log.decision(
-                    "backend_spoiled", request=call.request_id, status=head.status, bytes=len(body)
-                )
-                return Lost(ResultCode.ANSWER_SPOILED)
-            case AnswerKind.OWN:
-                self.belief.answered(failed=head.status >= FAILURE_STATUS)
-                return WholeAnswer(head.status, reading.headers, body)
-
     def _adapt(self) -> None:
         self._admitter.has_slots(self.belief.slots)
         if self.evacuated or not self.belief.takes_work:
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.admission.running_requests import RunningRequests
     from hoisthook.identity import ServiceName
     from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
     from hoisthook.port.caller_wire import CallerRequest
@@ -45,6 +46,8 @@
         The routes.
     dispatcher : RoutedDispatcher
         Runs requests.
+    beside : RunningRequests
+        What runs at the backend server beside, whose calls come here.
     clock : Clock
         Monotonic, the loop's own.
     log : EventLog
@@ -57,6 +60,7 @@
         wire: CallerWire,
         configuration: ConfigurationHolder,
         dispatcher: RoutedDispatcher,
+        beside: RunningRequests,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -64,6 +68,7 @@
         self._wire = wire
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._beside = beside
         self._clock = clock
         self._log = log
         self._parts = PartChoice()
@@ -130,6 +135,7 @@
             tries=done.tries,
             ran=done.ran,
             sent_to=done.node,
+            made_by=call.made_by,
         )
 
     def _call(
@@ -141,6 +147,8 @@
         received: float,
         time_left: float,
     ) -> RoutedCall:
+        self._beside.arrived(route.name)
+        maker = self._beside.maker_of(route.name)
         return RoutedCall(
             request_id=request.request_id,
             route=route.name,
@@ -153,7 +161,8 @@
             received=received,
             deadline=received + time_left,
             target_latency=route.target_latency,
-            priority=route.priority,
+            priority=route.priority if maker is None else min(route.priority, maker.priority),
+            made_by=None if maker is None else maker.request_id,
             repeatable=route.repeatable,
             max_attempts=route.max_attempts,
         )
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -295,7 +295,15 @@
         dispatcher = RoutedDispatcher(
             choice, self._hop, self.directory, retry, self._clock, self._log
         )
-        return Entry(service, wire, self.configuration, dispatcher, self._clock, self._log)
+        return Entry(
+            service,
+            wire,
+            self.configuration,
+            dispatcher,
+            self.link.running,
+            self._clock,
+            self._log,
+        )
 
     def _configured(self, configuration: TrafficConfiguration) -> None:
         service = ServiceName(self.settings.node.service)
--- a/src/hoisthook/mesh/routed_call.py
+++ b/src/hoisthook/mesh/routed_call.py
@@ -44,6 +44,8 @@
         Whether it may run more than once.
     max_attempts : int
         Backend servers that it may be sent to, at most.
+    made_by : RequestId or None
+        The request that runs beside the first node and makes this one, if any does.
     held_back : bool
         Whether its end is sent only to a node that has asked for it, so that it runs nowhere
         else.
@@ -63,6 +65,7 @@
     priority: int
     repeatable: bool
     max_attempts: int
+    made_by: RequestId | None = None
     held_back: bool = False
 
     def __post_init__(self) -> None:
--- /dev/null
+++ b/tests/admission/test_running_requests.py
@@ -0,0 +1,91 @@
+"""Which requests make the calls that come from a backend server is learned from what runs."""
+
+from __future__ import annotations
+
+import random
+
+from hoisthook.admission.running_requests import MIN_SEEN
+from hoisthook.admission.running_requests import RunningRequest
+from hoisthook.admission.running_requests import RunningRequests
+from hoisthook.identity import RequestId
+from hoisthook.identity import RouteName
+
+REGISTER = RouteName("register")
+VERIFY = RouteName("verify")
+LOOKUP = RouteName("lookup")
+OWN = RouteName("own")
+
+
+def running(route: RouteName, priority: int, name: str = "r") -> RunningRequest:
+    return RunningRequest(RequestId(name), route, priority)
+
+
+def learn(beside: RunningRequests, count: int = 2 * MIN_SEEN) -> None:
+    """Half of the time a registration runs, which looks things up; others come at any time."""
+    drawn = random.Random(7)
+    for _ in range(count):
+        request = running(REGISTER, 0)
+        beside.begin(request)
+        beside.arrived(LOOKUP)
+        if drawn.random() < 0.5:
+            beside.arrived(OWN)
+        beside.end(request)
+        beside.arrived(OWN)
+
+
+def test_call_bears_the_rank_of_the_request_that_makes_it() -> None:
+    beside = RunningRequests()
+    learn(beside)
+    request = running(REGISTER, 0, "parent")
+    beside.begin(request)
+    assert beside.maker_of(LOOKUP) is request
+    beside.end(request)
+    assert beside.maker_of(LOOKUP) is None
+
+
+def test_request_that_comes_at_any_time_is_nobodys_call() -> None:
+    beside = RunningRequests()
+    learn(beside)
+    beside.begin(running(REGISTER, 0))
+    assert beside.maker_of(OWN) is None
+
+
+def test_nothing_is_taken_for_a_call_before_enough_is_known() -> None:
+    beside = RunningRequests()
+    learn(beside, MIN_SEEN // 2)
+    beside.begin(running(REGISTER, 0))
+    assert beside.maker_of(LOOKUP) is None
+
+
+def test_nothing_is_learned_where_a_route_runs_all_the_time() -> None:
+    beside = RunningRequests()
+    beside.begin(running(REGISTER, 0))
+    for _ in range(4 * MIN_SEEN):
+        beside.arrived(LOOKUP)
+        beside.arrived(OWN)
+    assert beside.maker_of(LOOKUP) is None
+
+
+def test_most_urgent_of_several_is_taken() -> None:
+    beside = RunningRequests()
+    learn(beside)
+    beside.begin(running(REGISTER, 2, "later"))
+    urgent = running(REGISTER, 0, "urgent")
+    beside.begin(urgent)
+    assert beside.maker_of(LOOKUP) is urgent
+
+
+def test_who_calls_what_is_learned_anew_when_it_changes() -> None:
+    beside = RunningRequests()
+    learn(beside)
+    for _ in range(20 * MIN_SEEN):
+        request = running(VERIFY, 1)
+        beside.begin(request)
+        beside.arrived(LOOKUP)
+        beside.end(request)
+        beside.arrived(OWN)
+    beside.begin(running(REGISTER, 0))
+    assert beside.maker_of(LOOKUP) is None
+    verify = running(VERIFY, 1)
+    beside.begin(verify)
+    assert beside.maker_of(LOOKUP) is verify
