After a restart of all, cold servers are used from the first second; admission's lines and settings on their own

Ruled out: counting from nothing (a node beside a cold server that is killed would give it twice its bound, test_node_that_starts_again_does_not_give_it_as_much_once_more). Change: what the predecessor sent counts only if the server turned cold before its end, told by the rest of its cold time and how long it is cold after a start.

--- a/src/hoisthook/admission/cold_limit.py
+++ b/src/hoisthook/admission/cold_limit.py
@@ -12,6 +12,9 @@
 # How old what is known of a cold server may be before it is asked anew, where the bound turns
 # requests away: a late announcement tells of a cold start that is over.
 COLD_REPORT_SECONDS = 0.25
+# A process serves this long after its predecessor's end at the earliest: loading the program
+# alone takes 0.2 s of processor time.
+RESTART_SECONDS = 0.2
 UNLIMITED = 1 << 30
 
 
@@ -27,7 +30,8 @@
 
     All requests for a backend server pass the node beside it, so the count here is that of all
     nodes. What the node's predecessor sent is not known, so the first second of a process counts
-    as full.
+    as full, unless the server has turned cold since the predecessor's end: after a restart of all
+    with their servers, 711 requests of one second were turned away for it at 24 nodes.
 
     Parameters
     ----------
@@ -37,7 +41,9 @@
 
     def __init__(self, now: float) -> None:
         self._limit: int | None = None
+        self._cold_seconds = 0.0
         self._begun = now
+        self._cold_since = -math.inf
         self._reserved = 0
         self._sent: deque[float] = deque()
         self._cold_until = -math.inf
@@ -48,9 +54,18 @@
         """Return how many requests may be sent in a second; None if any number."""
         return self._limit
 
-    def bound(self, limit: int | None) -> None:
-        """Set how many requests may be sent in a second; None for any number."""
+    def bound(self, limit: int | None, cold_seconds: float = 0.0) -> None:
+        """Set how many requests may be sent in a second.
+
+        Parameters
+        ----------
+        limit : int or None
+            None for any number.
+        cold_seconds : float
+            For how long a server is cold after its start; 0 if that is not known.
+        """
         self._limit = limit
+        self._cold_seconds = cold_seconds
 
     def observed(self, remaining: float, asked_at: float, now: float) -> None:
         """Take in for how many seconds more the server says that it is cold.
@@ -66,6 +81,9 @@
         """
         self._seen_at = asked_at
         self._cold_until = now + remaining if remaining > 0 else -math.inf
+        is_whole = 0.0 < remaining <= self._cold_seconds
+        # At the earliest: what was told may have been true when it was asked.
+        self._cold_since = asked_at + remaining - self._cold_seconds if is_whole else -math.inf
 
     def announced(self, remaining: float, now: float) -> None:
         """Take in what an announcement says; one that arrives late may be out of date.
@@ -79,6 +97,7 @@
         """Take what was seen for out of date: another incarnation may be there now."""
         self._seen_at = -math.inf
         self._cold_until = -math.inf
+        self._cold_since = -math.inf
 
     def reserve(self) -> None:
         """Note a request that is admitted and not yet sent."""
@@ -120,7 +139,8 @@
             return 0.0
         full = missing > len(self._sent)
         opens = now + WINDOW_SECONDS if full else self._sent[missing - 1] + WINDOW_SECONDS
-        opens = max(opens, self._begun + WINDOW_SECONDS)
+        if self._is_carried(now):
+            opens = max(opens, self._begun + WINDOW_SECONDS)
         if self.is_cold(now):
             opens = min(opens, self._cold_until)
         return max(0.0, opens - now)
@@ -128,9 +148,14 @@
     def _used(self, now: float) -> int:
         while self._sent and self._sent[0] <= now - WINDOW_SECONDS:
             self._sent.popleft()
-        carried = self._limit or 0 if now < self._begun + WINDOW_SECONDS else 0
+        carried = self._limit or 0 if self._is_carried(now) else 0
         return self._reserved + len(self._sent) + carried
 
+    def _is_carried(self, now: float) -> bool:
+        """Return whether what the node's predecessor sent may still count."""
+        predecessor_ended = self._begun - RESTART_SECONDS
+        return now < self._begun + WINDOW_SECONDS and self._cold_since < predecessor_ended
+
     def _sent_since(self, moment: float) -> int:
         if moment < self._begun:
             # Never seen in this process.
--- /dev/null
+++ b/src/hoisthook/beside/admission_lines.py
@@ -0,0 +1,85 @@
+"""What the log says about admission beside a backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.admission.admitter import Stay
+    from hoisthook.admission.priority_gate import PriorityGate
+    from hoisthook.admission.server_speed import ServerSpeed
+    from hoisthook.mesh.backend_belief import BackendBelief
+    from hoisthook.mesh.hop_header import Admission
+    from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.node.call import Refused
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+
+
+class AdmissionLines:
+    """Writes what a decision about a request rested on.
+
+    Parameters
+    ----------
+    gate : PriorityGate
+        Slots and those that wait.
+    speed : ServerSpeed
+        How long work takes.
+    belief : BackendBelief
+        State of the backend server.
+    clock : Clock
+        Monotonic.
+    log : EventLog
+        Gets the lines.
+    """
+
+    def __init__(
+        self,
+        gate: PriorityGate,
+        speed: ServerSpeed,
+        belief: BackendBelief,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._gate = gate
+        self._speed = speed
+        self._belief = belief
+        self._clock = clock
+        self._log = log
+
+    def admitted(self, call: RoutedCall, stay: Stay) -> None:
+        """Note that a request got a slot."""
+        now = self._clock.now()
+        moments = self._speed.moments
+        self._log.decision(
+            "admitted",
+            request=call.request_id,
+            waited_ms=round((now - call.received) * 1000.0, 1),
+            priority=call.priority,
+            running=self._gate.running,
+            slowdown=stay.slowdown,
+            base=moments.base,
+            pace=round(self._speed.pace(now), 2),
+            load_age_ms=round(moments.age(now) * 1000.0, 1),
+            may_be_wrong=round(moments.chance_of_change(now), 3),
+            cold=self._gate.cold.is_cold(now),
+        )
+
+    def refused(self, call: RoutedCall, admission: Admission, refused: Refused) -> None:
+        """Note that a request got none."""
+        now = self._clock.now()
+        self._log.decision(
+            "not_admitted",
+            request=call.request_id,
+            code=refused.code.number,
+            admission=admission.name.lower(),
+            priority=call.priority,
+            running=self._gate.running,
+            waiting=self._gate.waiting,
+            limit=self._gate.limit,
+            slowdown=self._speed.slowdown,
+            pace=round(self._speed.pace(now), 2),
+            load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
+            state=self._belief.state.value,
+            cold=self._gate.cold.is_cold(now),
+        )
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hoisthook.admission.admission_policy import Verdict
 from hoisthook.admission.admitter import Admitter
 from hoisthook.admission.running_requests import RunningRequests
 from hoisthook.admission.server_speed import ServerSpeed
+from hoisthook.beside.admission_lines import AdmissionLines
 from hoisthook.beside.backend_exchange import FAILURE_STATUS
 from hoisthook.beside.backend_exchange import BackendExchanges
 from hoisthook.mesh.backend_belief import BackendBelief
@@ -31,6 +31,7 @@
     from hoisthook.admission.admitter import Stay
     from hoisthook.admission.demand import Demand
     from hoisthook.admission.priority_gate import PriorityGate
+    from hoisthook.beside.link_settings import LinkSettings
     from hoisthook.identity import Address
     from hoisthook.measure.measure_budget import MeasureBudget
     from hoisthook.membership.backend_incarnation import BackendIncarnation
@@ -48,30 +49,6 @@
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class LinkSettings:
-    """How the backend server beside is used.
-
-    Attributes
-    ----------
-    usable_share : float
-        Share of its slots that is used; beyond it work there slows down.
-    cold_factor, cold_extra : float
-        How many times its rate, and how many requests besides, a cold backend server may get in
-        any second; a factor of 0 stands for no bound.
-    """
-
-    usable_share: float
-    cold_factor: float = 0.0
-    cold_extra: float = 0.0
-
-    def cold_bound(self, per_second: float | None) -> int | None:
-        """Return how many requests a cold server may get in a second; None for any number."""
-        if per_second is None or self.cold_factor <= 0:
-            return None
-        return int(per_second * self.cold_factor + self.cold_extra)
-
-
 class BackendLink:
     """Admission to one backend server and the exchanges with it.
 
@@ -133,6 +110,7 @@
             # Nothing is sent before the operators' rate is known.
             self.gate.cold.bound(0)
         self._settings = settings
+        self._lines = AdmissionLines(self.gate, self._speed, self.belief, clock, log)
         self.leaving = False
         self.stopping = False
         self.evacuated = False
@@ -157,8 +135,11 @@
         """Take in what operators say about the service."""
         if traits is not None:
             self.health.path = traits.health_path
-        per_second = None if traits is None else traits.cold_per_second
-        self.gate.cold.bound(self._settings.cold_bound(per_second))
+        if traits is None:
+            self.gate.cold.bound(None)
+        else:
+            limit = self._settings.cold_bound(traits.cold_per_second)
+            self.gate.cold.bound(limit, traits.cold_seconds)
         self._adapt()
 
     def evacuate(self, *, evacuated: bool) -> None:
@@ -217,10 +198,10 @@
                 call.route, demand, may_wait=may_wait, waiting=waiting
             )
             if stay is not None:
-                self._log_admission(call, stay)
+                self._lines.admitted(call, stay)
                 return await self._run_admitted(call, stay, admitted)
             refused = Refused(ResultCode.QUEUE_TIMEOUT, self._time_to_slot(call))
-        self._log_refusal(call, admission, refused)
+        self._lines.refused(call, admission, refused)
         return refused
 
     def close(self) -> None:
@@ -324,37 +305,6 @@
     def _time_to_slot(self, call: RoutedCall) -> float:
         return self._admitter.policy.time_to_start(self._demand(call))
 
-    def _log_admission(self, call: RoutedCall, stay: Stay) -> None:
-        now = self._clock.now()
-        self._log.decision(
-            "admitted",
-            request=call.request_id,
-            waited_ms=round((now - call.received) * 1000.0, 1),
-            priority=call.priority,
-            running=self.gate.running,
-            slowdown=stay.slowdown,
-            base=self._speed.moments.base,
-            pace=round(self._speed.pace(now), 2),
-            load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
-            may_be_wrong=round(self._speed.moments.chance_of_change(now), 3),
-        )
-
-    def _log_refusal(self, call: RoutedCall, admission: Admission, refused: Refused) -> None:
-        now = self._clock.now()
-        self._log.decision(
-            "not_admitted",
-            request=call.request_id,
-            code=refused.code.number,
-            admission=admission.name.lower(),
-            running=self.gate.running,
-            waiting=self.gate.waiting,
-            limit=self.gate.limit,
-            slowdown=self._speed.slowdown,
-            pace=round(self._speed.pace(now), 2),
-            load_age_ms=round(self._speed.moments.age(now) * 1000.0, 1),
-            state=self.belief.state.value,
-        )
-
 
 def _refusal(ruling: Ruling) -> Refused | None:
     match ruling.verdict:
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -9,13 +9,13 @@
 
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.beside.link_settings import LinkSettings
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
 from hoisthook.identity import ServiceName
 from hoisthook.identity import parse_address
 from hoisthook.measure.measure_budget import MeasureBudget
 from hoisthook.mesh.backend_link import BackendLink
-from hoisthook.mesh.backend_link import LinkSettings
 from hoisthook.mesh.configuration_watch import ConfigurationWatch
 from hoisthook.mesh.entry import Entry
 from hoisthook.mesh.hop_server import HopServer
--- a/src/hoisthook/traffic/traffic_configuration.py
+++ b/src/hoisthook/traffic/traffic_configuration.py
@@ -26,11 +26,14 @@
         Connections that a backend server accepts from all callers together.
     cold_per_second : float or None
         Requests a second that a backend server bears while it is cold; None for any number.
+    cold_seconds : float
+        For how long it is cold after its start; 0 if operators do not say.
     """
 
     health_path: str
     max_connections: int
     cold_per_second: float | None = None
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/admission/test_cold_limit.py
+++ b/tests/admission/test_cold_limit.py
@@ -63,6 +63,24 @@
     assert cold.room(NOW + WINDOW_SECONDS) == LIMIT
 
 
+def test_first_second_is_free_where_the_server_turned_cold_after_the_predecessors_end() -> None:
+    """As after a restart of all instances with their backend servers."""
+    cold = ColdLimit(NOW)
+    cold.bound(LIMIT, 3.0)
+    cold.observed(2.9, NOW + 0.05, NOW + 0.06)
+    assert cold.room(NOW + 0.1) == LIMIT
+
+
+def test_first_second_is_full_where_it_turned_cold_before() -> None:
+    cold = ColdLimit(NOW)
+    cold.bound(LIMIT, 3.0)
+    cold.observed(2.5, NOW + 0.05, NOW + 0.06)
+    assert cold.room(NOW + 0.1) == 0
+    # Nor is it free where nobody knows since when.
+    cold.observed(5.0, NOW + 0.05, NOW + 0.06)
+    assert cold.room(NOW + 0.1) == 0
+
+
 def test_what_is_admitted_and_not_sent_yet_counts() -> None:
     cold = cold_limit()
     cold.observed(3.0, NOW, NOW)
