Findings are taken in before a question is held; a refused health check does not say warm

Change: findings first, then the hold; only a 200, or an answer that names cold, tells of it. Tests: test_findings_are_taken_in_before_the_question_is_held, test_health_that_is_refused_does_not_say_that_it_is_warm.

--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -28,6 +28,7 @@
 # How long a backend server that refuses connections is left alone.
 UNREACHABLE_SECONDS = 0.3
 UNHEALTHY_STATUS = 500
+OK = 200
 
 
 class HealthReader:
@@ -120,7 +121,8 @@
             self._belief.refused_health()
         elif reading.instance is not None:
             self._belief.answered_as(reading.instance)
-        if self._on_cold is not None:
+        # A refusal for want of a slot says nothing of cold, also where the server is.
+        if self._on_cold is not None and (head.status == OK or reading.cold_seconds > 0):
             self._on_cold(reading.cold_seconds, asked_at)
         if reading.load is not None:
             self._belief.loaded(reading.load)
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -269,6 +269,8 @@
         self._directory.merge([question.sender, *question.peers], "peer")
         if question.peers:
             self._directory.told.set()
+        # Before the hold: findings bear their age at the moment of the question.
+        self._take_findings(question)
         if question.hold > 0 and not self._has_changes_for(question):
             await self._wait_for_change(min(question.hold, MAX_HOLD_SECONDS))
         suspected, cleared = self._suspicions_for(question)
@@ -312,8 +314,8 @@
             return -1, []
         return known.revision, sorted(known.data_centres)
 
-    def _suspicions_for(self, question: SyncQuestion) -> tuple[list[NodeId], list[NodeId]]:
-        """Take in the asker's findings and this node's own; return what is new to the asker."""
+    def _take_findings(self, question: SyncQuestion) -> None:
+        """Take in the asker's findings and this node's own."""
         table = self._suspicions
         now = self._clock.now()
         before = table.revision
@@ -328,9 +330,14 @@
         suspected, cleared = table.since(before)
         self._directory.others_suspect(suspected, now)
         self._directory.others_reached(cleared)
+
+    def _suspicions_for(self, question: SyncQuestion) -> tuple[list[NodeId], list[NodeId]]:
+        """Return the nodes suspected and those cleared, as far as the asker has not heard."""
         if not question.wants_news:
             return [], []
-        return table.since(question.suspicions if question.source == self._process else 0)
+        return self._suspicions.since(
+            question.suspicions if question.source == self._process else 0
+        )
 
     def _news_for(self, question: SyncQuestion) -> list[Peer]:
         directory = self._directory
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -147,7 +147,7 @@
         if exchange.head.target == b"/healthz":
             self.health_reads += 1
             told = self._told()
-            if self.cold_seconds > 0:
+            if self.healthy and self.cold_seconds > 0:
                 told.append((b"x-cold-ms", b"%d" % round(self.cold_seconds * 1000.0)))
             exchange.respond(200 if self.healthy else 503, told)
             return
--- a/tests/mesh/test_cold_backend.py
+++ b/tests/mesh/test_cold_backend.py
@@ -65,6 +65,16 @@
     assert most_in_a_second(server.backend.arrival_times) <= BOUND
 
 
+async def test_health_that_is_refused_does_not_say_that_it_is_warm(system: MeshSystem) -> None:
+    entries, server = await entries_and_server(system)
+    server.backend.cold_seconds = 30.0
+    await server.beat()
+    server.backend.healthy = False
+    await press(system, entries)
+    assert server.backend.health_reads
+    assert most_in_a_second(server.backend.arrival_times) <= BOUND
+
+
 async def test_warm_server_serves_all(system: MeshSystem) -> None:
     entries, server = await entries_and_server(system)
     assert set(await press(system, entries)) == {200}
--- a/tests/mesh/test_suspicion.py
+++ b/tests/mesh/test_suspicion.py
@@ -6,11 +6,14 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.identity import ServiceName
+from hoisthook.mesh import peer_sync
 from standin.mesh_system import RouteOptions
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import pytest
+
     from hoisthook.mesh.peer import PeerView
     from standin.mesh_system import Machine
     from standin.mesh_system import MeshSystem
@@ -127,3 +130,30 @@
         await machines[asker].node.sync.ask(machines[asked].node.peers_address, wants_news=True)
     assert view_of(machines["finder"], gone).suspected
     gone.backend.close()
+
+
+async def test_findings_are_taken_in_before_the_question_is_held(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Their age is that at the moment of the question; a hold would make old ones new."""
+    monkeypatch.setattr(peer_sync, "MAX_HOLD_SECONDS", 60.0)
+    names = ("finder", "other", "reader", "gone")
+    machines = {name: await system.add("shop", data_centre=name) for name in names}
+    system.introduce_all()
+    gone = machines["gone"]
+    gone.crash()
+    system.machines.remove(gone)
+    asking = []
+    for asker in ("finder", "other"):
+        now = asyncio.get_running_loop().time()
+        sync = machines[asker].node.sync
+        machines[asker].node.directory.findings.note(
+            gone.node.directory.me.node, now, reached=False
+        )
+        address = machines["reader"].node.peers_address
+        asking.append(asyncio.create_task(sync.ask(address, wants_news=True, hold=60.0)))
+    await until(lambda: view_of(machines["reader"], gone).suspected)
+    assert not any(task.done() for task in asking)
+    for task in asking:
+        task.cancel()
+    gone.backend.close()
