--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -121,6 +121,7 @@
         self._offset: int | None = None
         self._backoff = FIRST_BACKOFF_SECONDS
         self._unanswered = 0
+        self._is_unreadable = False
         self._asked = randomness.randrange(ANY_TURN)
 
     async def run(self) -> None:
@@ -136,7 +137,7 @@
                 answered = await self._ask(readers[self._asked % len(readers)], hold)
                 self._unanswered = 0 if answered else self._unanswered + 1
                 if answered:
-                    await self._pause(MIN_FOLLOW_SECONDS)
+                    await self._pause(FOLLOW_SECONDS if self._is_unreadable else MIN_FOLLOW_SECONDS)
             else:
                 if readers:
                     # Asks for the newest record, rather than waiting for the next.
@@ -170,6 +171,9 @@
             reader.unreachable(self._clock.now())
             return False
         reader.connected()
+        news = reply.configuration
+        # It would be told at once with each question.
+        self._is_unreadable = news is not None and news.version > self._holder.version
         if reply.store_away:
             self._readers.turned_away(reader)
         else:
--- a/tests/mesh/test_configuration_watch.py
+++ b/tests/mesh/test_configuration_watch.py
@@ -198,3 +198,23 @@
     machine.node._run(fails_once)
     await until(lambda: system.log.named("task_failed"))
     assert "broken" in str(system.log.named("task_failed")[0]["reason"])
+
+
+async def test_configuration_that_cannot_be_read_is_not_asked_for_without_a_pause(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    system.readers_per_data_centre = 1
+    for _ in range(3):
+        await system.add("shop")
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    followers = [m for m in system.machines if m.node._watch._readers.to_ask()]
+    for machine in followers:
+        monkeypatch.setattr(machine.node.sync._decode, "assemble", lambda parts: None)
+    monkeypatch.setattr(configuration_watch, "FOLLOW_SECONDS", LONG_SECONDS)
+    system.publish(2, RouteOptions("shop"))
+    # A difference, then the whole, at each.
+    await until(lambda: len(system.log.named("configuration_misfit")) >= 2 * len(followers))
+    await asyncio.sleep(0.2)
+    assert len(system.log.named("configuration_misfit")) == 2 * len(followers)
