--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -11,7 +11,6 @@
 
 if TYPE_CHECKING:
     from hoisthook.mesh.peer import PeerView
-    from hoisthook.mesh.peer_sync import ConfigurationDecoder
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.mesh.store_readers import StoreReaders
     from hoisthook.port.clock import Clock
@@ -19,6 +18,7 @@
     from hoisthook.port.event_log import EventLog
     from hoisthook.port.record_store import RecordPage
     from hoisthook.port.record_store import RecordStore
+    from hoisthook.traffic.configuration_exchange import ConfigurationDecoder
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
 
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -32,6 +32,7 @@
 from hoisthook.mesh.routed_dispatcher import RetrySettings
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
 from hoisthook.mesh.store_readers import StoreReaders
+from hoisthook.traffic.configuration_exchange import ConfigurationExchange
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
 from hoisthook.traffic.evacuations import Evacuations
 
@@ -41,13 +42,13 @@
 
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
-    from hoisthook.mesh.peer_sync import ConfigurationDecoder
     from hoisthook.port.backend_wire import BackendWire
     from hoisthook.port.caller_wire import CallerWire
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
     from hoisthook.port.record_store import RecordStore
     from hoisthook.settings.mesh_settings import MeshSettings
+    from hoisthook.traffic.configuration_exchange import ConfigurationDecoder
     from hoisthook.traffic.traffic_configuration import TrafficConfiguration
 
 # Backend servers close idle connections after a few seconds; one kept for less is still open.
@@ -129,7 +130,7 @@
             self.directory,
             self.configuration,
             self.evacuations,
-            decode,
+            ConfigurationExchange(self.configuration, decode, log),
             self._peer_pool,
             clock,
             self._randomness,
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
-from typing import Protocol
 
 import msgspec
 
@@ -19,7 +18,6 @@
 from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
 from hoisthook.result_code import ResultCode
-from hoisthook.traffic.configuration_history import ConfigurationHistory
 from hoisthook.traffic.configuration_holder import ConfigurationSource
 from hoisthook.traffic.configuration_parts import NO_VERSION
 
@@ -35,11 +33,9 @@
     from hoisthook.port.clock import Clock
     from hoisthook.port.clock import Randomness
     from hoisthook.port.event_log import EventLog
+    from hoisthook.traffic.configuration_exchange import ConfigurationExchange
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
-    from hoisthook.traffic.configuration_parts import ConfigurationNews
-    from hoisthook.traffic.configuration_parts import ConfigurationParts
     from hoisthook.traffic.evacuations import Evacuations
-    from hoisthook.traffic.traffic_configuration import TrafficConfiguration
 
 SYNC_PATH = b"/hoisthook/peers"
 CONNECT_SECONDS = 0.2
@@ -59,16 +55,6 @@
 MAX_HOLD_SECONDS = 2.0
 
 
-class ConfigurationDecoder(Protocol):
-    """Reads a configuration as operators publish it."""
-
-    def __call__(self, raw: bytes) -> TrafficConfiguration | None:
-        """Return the configuration, or None if it cannot be read."""
-
-    def assemble(self, parts: ConfigurationParts) -> TrafficConfiguration | None:
-        """Return the configuration of its parts, or None if one cannot be read."""
-
-
 class _Had(NamedTuple):
     """What a node has had of another's news."""
 
@@ -88,8 +74,8 @@
         What it has.
     evacuations : Evacuations
         Which data centres are evacuated.
-    decode : ConfigurationDecoder
-        Reads a configuration that a peer hands on.
+    exchange : ConfigurationExchange
+        Tells what others lack of it, and takes in what they tell.
     pool : ClientPool
         Connections to other nodes.
     clock : Clock
@@ -105,7 +91,7 @@
         directory: PeerDirectory,
         configuration: ConfigurationHolder,
         evacuations: Evacuations,
-        decode: ConfigurationDecoder,
+        exchange: ConfigurationExchange,
         pool: ClientPool,
         clock: Clock,
         randomness: Randomness,
@@ -114,7 +100,7 @@
         self._directory = directory
         self._configuration = configuration
         self._evacuations = evacuations
-        self._decode = decode
+        self._exchange = exchange
         self._pool = pool
         self._randomness = randomness
         self._log = log
@@ -124,9 +110,9 @@
         self._suspicions = SuspicionTable()
         self._process_by_asker: dict[NodeId, str] = {}
         self._clock = clock
-        self._history = ConfigurationHistory()
         self._changed = asyncio.Event()
-        configuration.on_change(self._configured)
+        # After the exchange has taken the change in, so that who waits is told of it.
+        configuration.on_change(lambda _: self._wake())
         evacuations.on_change(self._wake)
         self.store_away = False
         self.peer_port = 0
@@ -278,7 +264,7 @@
             self._news_for(question),
             self._process,
             self._directory.revision,
-            self._history.since(question.configuration),
+            self._exchange.since(question.configuration),
             self.store_away,
             self._suspicions.revision,
             suspected,
@@ -304,10 +290,6 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _configured(self, configuration: TrafficConfiguration) -> None:
-        self._history.take(configuration.parts)
-        self._wake()
-
     def _evacuations_for(self, question: SyncQuestion) -> tuple[int, list[DataCentre]]:
         known = self._evacuations
         if known.revision <= question.evacuations:
@@ -364,26 +346,13 @@
         for node in reply.cleared:
             self._suspicions.reached(node, self._clock.now())
         self._evacuations.offer(reply.evacuations, reply.evacuated, ConfigurationSource.PEER)
-        if reply.configuration is not None and not self._take_configuration(reply.configuration):
+        if reply.configuration is not None and not self._exchange.take(reply.configuration):
             if question.configuration == NO_VERSION:
                 return
             # The difference does not fit what is known here.
             whole = msgspec.structs.replace(question, configuration=NO_VERSION, hold=0.0)
             await self._send(address, whole)
 
-    def _take_configuration(self, news: ConfigurationNews) -> bool:
-        """Put news in force; return whether they fit."""
-        if news.version <= self.version:
-            return True
-        current = self._configuration.current
-        parts = news.applied_to(None if current is None else current.parts)
-        configuration = None if parts is None else self._decode.assemble(parts)
-        if configuration is None:
-            self._log.event("configuration_misfit", version=news.version, base=news.base)
-            return False
-        self._configuration.offer(configuration, ConfigurationSource.PEER)
-        return True
-
     def _log_unreadable(self, what: str, reason: str) -> None:
         self._log.event(
             "peer_message_unreadable",
--- a/tests/mesh/test_configuration_watch.py
+++ b/tests/mesh/test_configuration_watch.py
@@ -211,7 +211,7 @@
     await system.until_configured(1)
     followers = [m for m in system.machines if m.node._watch._readers.to_ask()]
     for machine in followers:
-        monkeypatch.setattr(machine.node.sync._decode, "assemble", lambda parts: None)
+        monkeypatch.setattr(machine.node.sync._exchange._decode, "assemble", lambda parts: None)
     monkeypatch.setattr(configuration_watch, "FOLLOW_SECONDS", LONG_SECONDS)
     system.publish(2, RouteOptions("shop"))
     # A difference, then the whole, at each.
