--- a/src/hoisthook/admission/urgent_arrivals.py
+++ b/src/hoisthook/admission/urgent_arrivals.py
@@ -14,10 +14,10 @@
     """Counts what arrives by rank, so that the less urgent leaves room for the more urgent.
 
     Load pattern: a cold backend server may get so many requests in a second, and more come. Whoever
-    comes first takes the room, so each rank loses the same share, also calls whose requests lose with
-    them the work already spent. With 9 and 17 requests a second for a room of 20 the more urgent get
-    over 0.9 of what they ask for (evenly spread arrivals over 5 s). What came in the last second
-    tells what will come in the next.
+    comes first takes the room, so each rank loses the same share, also calls whose requests lose
+    with them the work already spent. With 9 and 17 requests a second for a room of 20 the more
+    urgent get over 0.9 of what they ask for (evenly spread arrivals over 5 s). What came in the
+    last second tells what will come in the next.
     """
 
     def __init__(self) -> None:
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -138,9 +138,9 @@
     the budget spent on them 32 of 1,700 requests of a restart of all were answered 502 though
     none had run. Some do all the same, over a link that takes longer than the silence that is
     borne: 11 requests of a day of 24 nodes ran on more backend servers than their routes allow, and
-    none since the last attempt that a route allows is held back, see `AdmittedExchange`. What was admitted and not answered
-    is tried again only if it may be repeated, the route allows another attempt, and the budget
-    has room.
+    none since the last attempt that a route allows is held back, see `AdmittedExchange`. What was
+    admitted and not answered is tried again only if it may be repeated, the route allows another
+    attempt, and the budget has room.
 
     Parameters
     ----------
