Teams are told apart by their keys

Cause: nothing of teams stood in the code: a key was handed on to backend servers, requests without a usable one ran, and a key taken away went on serving.

Change: teams/ finds who holds a key (by digest, one credential only), the entry refuses at once what bears none (1015, 401), the team's name goes with the hop and to the backend server, set by nodes alone, and a team's rank goes before its route's. Trailers of a body no longer join the head of a request that waits behind another on its connection.

Ruled out: ranking by the team alone, which would undo the ranks of routes where all teams have one.

--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -137,6 +137,9 @@
         """Queue the exchange (parser callback)."""
         self._disarm_timer()
         head = RequestHead(self._parser.get_method(), self._target, self._headers)
+        # The parser tells of a body's trailer like of a header: kept with the head, it would let a
+        # caller add to what was checked.
+        self._headers = []
         exchange = ServerExchange(self, head, BodyStream(self), self._parser.should_keep_alive())
         if self._expects_continue:
             exchange.expects_go_ahead = True
--- a/src/hoisthook/beside/backend_exchange.py
+++ b/src/hoisthook/beside/backend_exchange.py
@@ -171,7 +171,7 @@
         self, call: RoutedCall, connection: ClientConnection, time_left: float
     ) -> tuple[AnswerHead, bytes] | Lost:
         added = self._wire.added_headers(
-            BackendRequestHead(self._belief.instance, call.caller_service, time_left)
+            BackendRequestHead(self._belief.instance, call.caller_service, time_left, call.team)
         )
         running = RunningRequest(call.request_id, call.route, call.priority)
         self._running.begin(running)
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hoisthook.exceptions import BrokenExchangeError
@@ -12,6 +13,8 @@
 from hoisthook.node.call import Refused
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
+from hoisthook.teams.team import rank_of
+from hoisthook.teams.team_table import logged_digest
 from hoisthook.traffic.part_choice import PartChoice
 
 if TYPE_CHECKING:
@@ -23,6 +26,7 @@
     from hoisthook.port.caller_wire import CallerWire
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
+    from hoisthook.teams.team import Team
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.route import Route
     from hoisthook.traffic.traffic_configuration import TrafficConfiguration
@@ -33,6 +37,24 @@
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """A request that may be served: what it asks for, who asks, and when that came."""
+
+    request: CallerRequest
+    route: Route
+    configuration: TrafficConfiguration
+    team: Team | None
+    received: float
+
+    @property
+    def rank(self) -> int:
+        """Return its rank; 0 is the most urgent."""
+        if not self.configuration.teams:
+            return self.route.priority
+        return rank_of(self.team, self.route.priority)
+
+
 class Entry:
     """The node's side towards callers.
 
@@ -92,16 +114,21 @@
                 exchange, request, refused, received, configuration=configuration.version
             )
             return
-        await self._serve(exchange, request, route, configuration, received)
-
-    async def _serve(
-        self,
-        exchange: ServerExchange,
-        request: CallerRequest,
-        route: Route,
-        configuration: TrafficConfiguration,
-        received: float,
-    ) -> None:
+        teams = configuration.teams
+        team = teams.holder(request.key)
+        if teams and team is None and not route.public:
+            self._turn_away(exchange, request, route, received)
+            return
+        if not teams:
+            request.headers += request.credentials
+        asked = _Asked(request, route, configuration, team, received)
+        await self._serve(exchange, asked)
+
+    async def _serve(self, exchange: ServerExchange, asked: _Asked) -> None:
+        request = asked.request
+        route = asked.route
+        configuration = asked.configuration
+        received = asked.received
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
@@ -113,7 +140,7 @@
                 if isinstance(body, Refused):
                     self._conclude(exchange, request, body, received, route=route.name)
                     return
-                call = self._call(exchange, request, route, body, received, time_left)
+                call = self._call(exchange, asked, body, time_left)
                 sent = True
                 done = await self._dispatcher.dispatch(call)
         except BrokenExchangeError:
@@ -131,6 +158,7 @@
             received,
             route=route.name,
             service=call.service,
+            team=call.team,
             configuration=configuration.version,
             tries=done.tries,
             ran=done.ran,
@@ -139,14 +167,11 @@
         )
 
     def _call(
-        self,
-        exchange: ServerExchange,
-        request: CallerRequest,
-        route: Route,
-        body: bytes,
-        received: float,
-        time_left: float,
+        self, exchange: ServerExchange, asked: _Asked, body: bytes, time_left: float
     ) -> RoutedCall:
+        request = asked.request
+        route = asked.route
+        rank = asked.rank
         self._beside.arrived(route.name)
         maker = self._beside.maker_of(route.name)
         return RoutedCall(
@@ -158,15 +183,29 @@
             target=exchange.head.target,
             headers=request.headers,
             body=body,
-            received=received,
-            deadline=received + time_left,
+            received=asked.received,
+            deadline=asked.received + time_left,
             target_latency=route.target_latency,
-            priority=route.priority if maker is None else min(route.priority, maker.priority),
+            priority=rank if maker is None else min(rank, maker.priority),
+            team=None if asked.team is None else asked.team.name,
             made_by=None if maker is None else maker.request_id,
             repeatable=route.repeatable,
             max_attempts=route.max_attempts,
         )
 
+    def _turn_away(
+        self, exchange: ServerExchange, request: CallerRequest, route: Route, received: float
+    ) -> None:
+        """Refuse a request without a key that a team holds, before it costs anybody anything."""
+        self._conclude(
+            exchange,
+            request,
+            Refused(ResultCode.TEAM_KEY_UNKNOWN, 0.0),
+            received,
+            route=route.name,
+            key=None if request.key is None else logged_digest(request.key),
+        )
+
     def _conclude(
         self,
         exchange: ServerExchange,
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
+from urllib.parse import quote
+from urllib.parse import unquote
 
 from hoisthook.identity import RequestId
 from hoisthook.identity import RouteName
 from hoisthook.identity import ServiceName
+from hoisthook.identity import TeamName
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
@@ -19,6 +22,8 @@
 RETRY_AFTER_MS = b"hoisthook-retry-after-ms"
 WAIT_MS = b"hoisthook-wait-ms"
 FIELDS = 9
+# The last one is left out where no team asks.
+FIELDS_WITH_TEAM = 10
 MILLIS = 1000.0
 
 
@@ -69,6 +74,8 @@
         Until its target latency is over.
     configuration : int
         Version in force at the sender.
+    team : TeamName or None
+        Who asks, if that is known.
     """
 
     service: ServiceName
@@ -80,10 +87,11 @@
     time_left: float
     target_left: float
     configuration: int
+    team: TeamName | None = None
 
     def encode(self) -> bytes:
         """Return the header's value; times in whole milliseconds."""
-        parts = (
+        parts = [
             self.service,
             self.caller_service,
             self.route,
@@ -93,14 +101,16 @@
             str(round(self.time_left * MILLIS)),
             str(round(self.target_left * MILLIS)),
             str(self.configuration),
-        )
+        ]
+        if self.team is not None:
+            parts.append(quote(self.team, safe=""))
         return " ".join(parts).encode("latin-1")
 
     @classmethod
     def decode(cls, value: bytes) -> HopHeader | None:
         """Return the header, or None if the value is none."""
         parts = value.decode("latin-1").split(" ")
-        if len(parts) != FIELDS:
+        if len(parts) not in (FIELDS, FIELDS_WITH_TEAM):
             return None
         try:
             return cls(
@@ -113,6 +123,7 @@
                 time_left=int(parts[6]) / MILLIS,
                 target_left=int(parts[7]) / MILLIS,
                 configuration=int(parts[8]),
+                team=TeamName(unquote(parts[9])) if len(parts) == FIELDS_WITH_TEAM else None,
             )
         except ValueError:
             return None
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -133,6 +133,7 @@
         deadline=received + header.time_left,
         target_latency=header.target_left,
         priority=header.priority,
+        team=header.team,
         repeatable=False,
         max_attempts=1,
     )
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -137,6 +137,7 @@
             time_left=call.time_left(now),
             target_left=call.target_left(now),
             configuration=self._sync.version,
+            team=call.team,
         )
         exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
         answered = await exchange.run(target_left=header.target_left, timeout=header.time_left)
--- a/src/hoisthook/mesh/routed_call.py
+++ b/src/hoisthook/mesh/routed_call.py
@@ -13,6 +13,7 @@
     from hoisthook.identity import RequestId
     from hoisthook.identity import RouteName
     from hoisthook.identity import ServiceName
+    from hoisthook.identity import TeamName
     from hoisthook.identity import WorkId
 
 
@@ -48,6 +49,8 @@
         Whether it may run more than once.
     max_attempts : int
         Backend servers that it may be sent to, at most.
+    team : TeamName or None
+        Who asks; None where teams are not told apart or none is known.
     made_by : RequestId or None
         The request that runs beside the first node and makes this one, if any does.
     held_back : bool
@@ -72,6 +75,7 @@
     priority: int
     repeatable: bool
     max_attempts: int
+    team: TeamName | None = None
     made_by: RequestId | None = None
     held_back: bool = False
     is_whole: bool = True
--- a/src/hoisthook/port/backend_wire.py
+++ b/src/hoisthook/port/backend_wire.py
@@ -13,6 +13,7 @@
     from hoisthook.identity import InstanceId
     from hoisthook.identity import RequestId
     from hoisthook.identity import ServiceName
+    from hoisthook.identity import TeamName
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,11 +84,14 @@
         The service beside which the request began.
     time_left : float
         Seconds after which its answer is of no use.
+    team : TeamName or None
+        Who asks; None where teams are not told apart or none is known.
     """
 
     instance: InstanceId | None
     caller_service: ServiceName
     time_left: float
+    team: TeamName | None = None
 
 
 class BackendWire(Protocol):
--- a/src/hoisthook/port/caller_wire.py
+++ b/src/hoisthook/port/caller_wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -29,6 +30,10 @@
         Seconds that the caller will wait; None if it does not say.
     headers : list of Header
         To hand on: end to end, without those that the system sets itself.
+    credentials : list of Header
+        Those that may hold a team's key; handed on only where teams are not told apart.
+    key : bytes or None
+        The one key that they hold; None if they hold none, or more than one.
     """
 
     request_id: RequestId
@@ -36,6 +41,8 @@
     path: str
     time_left: float | None
     headers: list[Header]
+    credentials: list[Header] = field(default_factory=list)
+    key: bytes | None = None
 
 
 @dataclass(slots=True)
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -108,6 +108,10 @@
         1014, 400, Ran.NOT_RUN, "The request bears no id.", "Give each request an id."
     )
 
+    TEAM_KEY_UNKNOWN = CodeEntry(
+        1015, 401, Ran.NOT_RUN, "The request bears no key that a team holds.", "Send a team's key."
+    )
+
     OVERLOADED = CodeEntry(
         2001, 503, Ran.NOT_RUN, "Every backend server tried is full.", "Come back as told."
     )
@@ -284,6 +288,14 @@
         "See operations.",
     )
 
+    TEAM_KEY_UNUSABLE = CodeEntry(
+        4011,
+        0,
+        Ran.NOT_RUN,
+        "A team's key is empty or held by two teams; it names nobody.",
+        "Give each team keys of its own.",
+    )
+
     SETTINGS_UNREADABLE = CodeEntry(
         5001, 0, Ran.NOT_RUN, "The settings file cannot be read.", "Check path and permissions."
     )
--- a/src/hoisthook/traffic/route.py
+++ b/src/hoisthook/traffic/route.py
@@ -50,6 +50,8 @@
         Rank; 0 is the most urgent.
     max_attempts : int
         Backend servers that one request may be sent to, at most.
+    public : bool
+        Whether its requests need no team's key where teams are told apart.
     """
 
     name: RouteName
@@ -61,3 +63,4 @@
     target_latency: float
     priority: int
     max_attempts: int
+    public: bool = False
--- a/src/hoisthook/traffic/traffic_configuration.py
+++ b/src/hoisthook/traffic/traffic_configuration.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from hoisthook.teams.team_table import TeamTable
 from hoisthook.traffic.route_table import RouteTable
 
 if TYPE_CHECKING:
@@ -74,6 +75,8 @@
         None where operators set none.
     parts : ConfigurationParts
         The parts as they were published, to hand on to peers.
+    teams : TeamTable
+        Who may ask; empty where teams are not told apart.
     table : RouteTable
         Derived from ``routes``.
     """
@@ -83,6 +86,7 @@
     traits_by_service: dict[ServiceName, ServiceTraits]
     limits: ClientLimits | None
     parts: ConfigurationParts
+    teams: TeamTable = field(default_factory=TeamTable)
     table: RouteTable = field(init=False)
 
     def __post_init__(self) -> None:
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -34,6 +34,9 @@
 from standin.mesh_store import StoreStandin
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from hoisthook.adapter.http.message import Header
     from hoisthook.port.event_log import EventLog
 
 HOST = "127.0.0.1"
@@ -77,6 +80,8 @@
         What it takes.
     safe : bool
         Whether its requests may be repeated.
+    public : bool
+        Whether they need no key.
     timeout, target : float
         Seconds.
     priority, attempts : int
@@ -97,9 +102,32 @@
     attempts: int = 2
     weights: dict[str, float] = {}
     cold_per_second: float | None = None
+    public: bool = False
+
+
+class TeamOptions(msgspec.Struct, frozen=True):
+    """A team to publish.
+
+    Attributes
+    ----------
+    name : str
+        Its name.
+    keys : tuple of str
+        Its keys.
+    priority : int
+        Its rank.
+    per_second, burst : float
+        Its quota; 0 a second for none.
+    """
 
+    name: str
+    keys: tuple[str, ...]
+    priority: int = 1
+    per_second: float = 0.0
+    burst: float = 0.0
 
-def configuration(version: int, *routes: RouteOptions) -> bytes:
+
+def configuration(version: int, *routes: RouteOptions, teams: Iterable[TeamOptions] = ()) -> bytes:
     """Return a configuration as operators publish it."""
     resources: list[dict[str, object]] = []
     cold_by_service: dict[str, float | None] = {}
@@ -112,6 +140,7 @@
             "targetLatencyS": route.target,
             "priority": route.priority,
             "maxAttempts": route.attempts,
+            "public": route.public,
         }
         if route.weights:
             spec["weightedServices"] = [
@@ -127,6 +156,14 @@
         if cold is not None:
             traits["coldPerS"] = cold
         resources.append({"type": "services", "metadata": {"name": name}, "spec": traits})
+    for team in teams:
+        holder = {
+            "apiKeys": list(team.keys),
+            "priority": team.priority,
+            "ratePerS": team.per_second,
+            "burst": team.burst,
+        }
+        resources.append({"type": "tenants", "metadata": {"name": team.name}, "spec": holder})
     limits = {
         "maxHeaderBytes": 8192,
         "maxBodyBytes": 100_000,
@@ -192,9 +229,11 @@
         self.store.close()
         await asyncio.sleep(0)
 
-    def publish(self, version: int, *routes: RouteOptions) -> None:
+    def publish(
+        self, version: int, *routes: RouteOptions, teams: Iterable[TeamOptions] = ()
+    ) -> None:
         """Publish a configuration as an operator."""
-        self.store.put(TOPIC, KEY, configuration(version, *routes))
+        self.store.put(TOPIC, KEY, configuration(version, *routes, teams=teams))
 
     def evacuate(self, data_centre: str) -> None:
         """Ask as an operator that nothing more be sent to a data centre."""
@@ -261,6 +300,8 @@
         deadline_ms: int = 2000,
         request_id: str | None = None,
         timeout: float = 5.0,
+        key: str | None = None,
+        more: Iterable[Header] = (),
     ) -> tuple[int, dict[bytes, bytes], bytes]:
         """Send a request as a caller beside a node; return status, headers and body."""
         self._requests += 1
@@ -270,6 +311,9 @@
             (b"x-request-id", name.encode()),
             (b"x-deadline-ms", b"%d" % deadline_ms),
         ]
+        if key is not None:
+            headers.append((b"authorization", b"Bearer " + key.encode()))
+        headers.extend(more)
         address = machine.node.callers_address
         connection = await self._pool.acquire(address, 1.0)
         answered = await exchange_whole(
