Teams' quotas hold over all nodes: a token from the node that gives out the data centre's part

Change: each data centre has a part of a team's quota by its number of nodes; one node there, the first by hash, gives out whole tokens; parts move by lending alone. What is admitted and not run leaves its token to the team. 429 with a time to come back, before a body is read, a hop made or a queue place taken.

--- a/src/hoisthook/beside/end_watch.py
+++ b/src/hoisthook/beside/end_watch.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.exceptions import UnreachableError
-from hoisthook.mesh.background_tasks import BackgroundTasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -9,6 +9,7 @@
 from hoisthook.admission.admission_policy import Verdict
 from hoisthook.admission.admitter import Admitter
 from hoisthook.admission.server_speed import ServerSpeed
+from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.experiment.load_pattern import Befall
 from hoisthook.experiment.load_pattern import Tally
 from hoisthook.experiment.modelled_server import Ended
@@ -18,7 +19,6 @@
 from hoisthook.identity import NodeId
 from hoisthook.identity import RequestId
 from hoisthook.measure.measure_budget import MeasureBudget
-from hoisthook.mesh.background_tasks import BackgroundTasks
 from hoisthook.mesh.beside_load import BesideLoad
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import WholeAnswer
--- a/src/hoisthook/mesh/crash_news.py
+++ b/src/hoisthook/mesh/crash_news.py
@@ -6,7 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from hoisthook.mesh.background_tasks import BackgroundTasks
+from hoisthook.background_tasks import BackgroundTasks
 
 if TYPE_CHECKING:
     from hoisthook.mesh.peer import PeerView
--- a/src/hoisthook/mesh/crash_records.py
+++ b/src/hoisthook/mesh/crash_records.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
+from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.exceptions import StoreUnavailableError
-from hoisthook.mesh.background_tasks import BackgroundTasks
 from hoisthook.port.record_store import KeyedRecord
 from hoisthook.retry.crash_evidence import LIFE_SECONDS
 from hoisthook.retry.crash_evidence import CrashReport
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.mesh.outcome import WholeAnswer
@@ -26,11 +27,23 @@
     from hoisthook.port.caller_wire import CallerWire
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
+    from hoisthook.teams.quota_desk import OverQuota
     from hoisthook.teams.team import Team
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.route import Route
     from hoisthook.traffic.traffic_configuration import TrafficConfiguration
 
+
+class QuotaGate(Protocol):
+    """Admits teams' requests within their quotas."""
+
+    async def admit(self, team: Team) -> OverQuota | None:
+        """Admit a request, or say why not."""
+
+    def not_run(self, team: Team) -> None:
+        """Take in that a request that was admitted has not run."""
+
+
 # A configuration reaches a node within a second or so of its start.
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
 # Used where operators set no bound: the largest body that a node holds.
@@ -70,6 +83,8 @@
         Runs requests.
     beside : RunningRequests
         What runs at the backend server beside, whose calls come here.
+    quotas : QuotaGate
+        Whose requests go beyond what their team may ask.
     clock : Clock
         Monotonic, the loop's own.
     log : EventLog
@@ -83,6 +98,7 @@
         configuration: ConfigurationHolder,
         dispatcher: RoutedDispatcher,
         beside: RunningRequests,
+        quotas: QuotaGate,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -91,6 +107,7 @@
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._beside = beside
+        self._quotas = quotas
         self._clock = clock
         self._log = log
         self._parts = PartChoice()
@@ -136,9 +153,13 @@
         sent = False
         try:
             async with asyncio.timeout(time_left):
+                over = await self._over_quota(asked)
+                if over is not None:
+                    self._conclude_unserved(exchange, asked, over)
+                    return
                 body = await _read_body(exchange, configuration)
                 if isinstance(body, Refused):
-                    self._conclude(exchange, request, body, received, route=route.name)
+                    self._conclude_unserved(exchange, asked, body)
                     return
                 call = self._call(exchange, asked, body, time_left)
                 sent = True
@@ -147,10 +168,14 @@
             exchange.abort()
             return
         except TimeoutError:
+            if not sent:
+                self._not_run(asked)
             late = Lost(ResultCode.DEADLINE_DURING_RUN)
             outcome = late if sent else Refused(ResultCode.REQUEST_TIMEOUT, 0.0)
-            self._conclude(exchange, request, outcome, received, route=route.name)
+            self._conclude_unserved(exchange, asked, outcome)
             return
+        if isinstance(done.outcome, Refused):
+            self._not_run(asked)
         self._conclude(
             exchange,
             request,
@@ -206,6 +231,26 @@
             key=None if request.key is None else logged_digest(request.key),
         )
 
+    async def _over_quota(self, asked: _Asked) -> Refused | None:
+        """Refuse what goes beyond a quota before it costs a slot, a hop or a queue place."""
+        if asked.team is None:
+            return None
+        over = await self._quotas.admit(asked.team)
+        return None if over is None else Refused(over.code, over.retry_after)
+
+    def _not_run(self, asked: _Asked) -> None:
+        """Leave what was admitted and refused by all backend servers to its team."""
+        if asked.team is not None:
+            self._quotas.not_run(asked.team)
+
+    def _conclude_unserved(
+        self, exchange: ServerExchange, asked: _Asked, outcome: Refused | Lost
+    ) -> None:
+        team = None if asked.team is None else asked.team.name
+        self._conclude(
+            exchange, asked.request, outcome, asked.received, route=asked.route.name, team=team
+        )
+
     def _conclude(
         self,
         exchange: ServerExchange,
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -28,11 +28,14 @@
 from hoisthook.mesh.peer_hop import PeerHop
 from hoisthook.mesh.peer_sync import SYNC_PATH
 from hoisthook.mesh.peer_sync import PeerSync
+from hoisthook.mesh.quota_exchange import QUOTA_PATH
+from hoisthook.mesh.quota_exchange import QuotaExchange
 from hoisthook.mesh.reader_exchange import ReaderExchange
 from hoisthook.mesh.registration import Registration
 from hoisthook.mesh.routed_dispatcher import RetrySettings
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
 from hoisthook.mesh.store_readers import StoreReaders
+from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.traffic.configuration_exchange import ConfigurationExchange
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
 from hoisthook.traffic.evacuations import Evacuations
@@ -141,6 +144,18 @@
             log,
         )
         self.crashes.tell_by(self.directory, self.sync)
+        self._quotas = QuotaExchange(
+            QuotaBounds(
+                settings.teams.quota_window_seconds,
+                settings.teams.quota_over_share,
+                settings.teams.quota_extra,
+            ),
+            self.directory,
+            self._peer_pool,
+            clock,
+            log,
+        )
+        self.sync.on_contact(self._quotas.contacted)
         readers = StoreReaders(self.directory, clock, settings.store.readers_per_data_centre)
         self._reader_exchange = ReaderExchange(readers, self.sync, self._randomness)
         self._registration = Registration(
@@ -253,6 +268,7 @@
 
     def _forget_connections(self) -> None:
         self.crashes.close()
+        self._quotas.close()
         self._hop.close()
         self.link.close()
         self._backend_pool.close()
@@ -310,6 +326,7 @@
             self.configuration,
             dispatcher,
             self.link.running,
+            self._quotas,
             self._clock,
             self._log,
         )
@@ -329,6 +346,8 @@
     async def _serve_peer(self, exchange: ServerExchange) -> None:
         if exchange.head.target == SYNC_PATH:
             await self.sync.answer(exchange)
+        elif exchange.head.target == QUOTA_PATH:
+            await self._quotas.serve(exchange)
         else:
             await self._hop_server.handle(exchange)
 
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import end_to_end
+from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh import hop_header
 from hoisthook.mesh.admitted_exchange import AdmittedExchange
-from hoisthook.mesh.background_tasks import BackgroundTasks
 from hoisthook.mesh.beside_load import BesideLoad
 from hoisthook.mesh.hop_header import HopHeader
 from hoisthook.mesh.outcome import WholeAnswer
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -22,6 +22,8 @@
 from hoisthook.traffic.configuration_parts import NO_VERSION
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
@@ -121,9 +123,14 @@
         # After the exchange has taken the change in, so that who waits is told of it.
         configuration.on_change(lambda _: self._wake())
         evacuations.on_change(self._wake)
+        self._contact_listeners: list[Callable[[Address], None]] = []
         self.store_away = False
         self.peer_port = 0
 
+    def on_contact(self, listener: Callable[[Address], None]) -> None:
+        """Have ``listener`` called with the address of each node that is heard from."""
+        self._contact_listeners.append(listener)
+
     async def run(self) -> None:
         """Ask a random peer now and then for as long as the store is away."""
         while True:
@@ -230,12 +237,17 @@
         self._pool.keep(address, connection)
         reply = self._read(answered[1])
         if reply is not None:
+            self._contacted(address)
             await self._take(reply, address, question)
         if reply is not None and question.wants_news:
             had = _Had(reply.source, reply.revision, reply.suspicions)
             self._had_by_address[address] = had
         return reply
 
+    def _contacted(self, address: Address) -> None:
+        for listener in self._contact_listeners:
+            listener(address)
+
     def _question(self, address: Address, *, wants_news: bool) -> SyncQuestion:
         directory = self._directory
         had = self._had_by_address.get(address, _Had())
@@ -275,6 +287,7 @@
             exchange.respond(400, [])
             return
         self._directory.merge([question.sender, *question.peers], "peer")
+        self._contacted((exchange.peer[0], self.peer_port))
         if question.peers:
             self._directory.told.set()
         # Before the hold: findings bear their age at the moment of the question.
--- /dev/null
+++ b/src/hoisthook/mesh/quota_exchange.py
@@ -0,0 +1,148 @@
+"""Carries questions about quotas between nodes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import UnreachableError
+from hoisthook.mesh.whole_exchange import exchange_whole
+from hoisthook.node.call import Lost
+from hoisthook.result_code import ResultCode
+from hoisthook.teams.quota_desk import QuotaAnswer
+from hoisthook.teams.quota_desk import QuotaDesk
+from hoisthook.teams.quota_desk import QuotaQuestion
+from hoisthook.teams.quota_owners import QuotaOwners
+
+if TYPE_CHECKING:
+    from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.identity import Address
+    from hoisthook.mesh.peer_directory import PeerDirectory
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+    from hoisthook.teams.quota_bounds import QuotaBounds
+    from hoisthook.teams.quota_desk import OverQuota
+    from hoisthook.teams.quota_owners import Seat
+    from hoisthook.teams.team import Team
+
+QUOTA_PATH = b"/hoisthook/quota"
+# A request waits for the answer; another node is asked in place of one that takes longer.
+CONNECT_SECONDS = 0.1
+ANSWER_SECONDS = 0.15
+MAX_LOGGED_REASON = 200
+
+
+class QuotaExchange:
+    """A `hoisthook.teams.quota_desk.QuotaTransport`, and the desk that it serves.
+
+    Parameters
+    ----------
+    bounds : QuotaBounds
+        What may be admitted.
+    directory : PeerDirectory
+        Who is there.
+    pool : ClientPool
+        Connections to other nodes.
+    clock : Clock
+        Monotonic.
+    log : EventLog
+        Gets a line for what cannot be read.
+    """
+
+    def __init__(
+        self,
+        bounds: QuotaBounds,
+        directory: PeerDirectory,
+        pool: ClientPool,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._directory = directory
+        self._pool = pool
+        self._log = log
+        self._near: frozenset[Address] = frozenset()
+        self._known_digest: int | None = None
+        self.desk = QuotaDesk(bounds, directory.me.data_centre, self, clock, log)
+
+    def refresh(self) -> None:
+        """Take in who is there, if that has changed."""
+        directory = self._directory
+        if self._known_digest == directory.digest:
+            return
+        self._known_digest = directory.digest
+        self._near = frozenset(v.address for v in directory.others() if v.same_data_centre)
+        self.desk.knows(QuotaOwners(directory.views()))
+
+    def close(self) -> None:
+        """Stop what is under way."""
+        self.desk.close()
+
+    async def admit(self, team: Team) -> OverQuota | None:
+        """Admit a request of a team, or say why not."""
+        self.refresh()
+        return await self.desk.admit(team)
+
+    def not_run(self, team: Team) -> None:
+        """Take in that a request that was admitted has not run."""
+        self.desk.not_run(team)
+
+    def contacted(self, address: Address) -> None:
+        """Note that another node was heard from."""
+        self.refresh()
+        if address in self._near:
+            self.desk.heard()
+
+    async def ask(self, seat: Seat, question: QuotaQuestion) -> QuotaAnswer | None:
+        """Return a node's answer, or None if it gave none."""
+        try:
+            connection = await self._pool.acquire(seat.address, CONNECT_SECONDS)
+        except UnreachableError as error:
+            self._log.event("quota_silent", peer=seat.peer.node, reason=str(error))
+            return None
+        answered = await exchange_whole(
+            connection,
+            b"POST",
+            QUOTA_PATH,
+            [(b"host", seat.address[0].encode())],
+            msgspec.msgpack.encode(question),
+            timeout=ANSWER_SECONDS,
+        )
+        if isinstance(answered, Lost):
+            self._log.event("quota_silent", peer=seat.peer.node, reason=answered.code.name)
+            return None
+        self._pool.keep(seat.address, connection)
+        return self._read(answered[1])
+
+    async def serve(self, exchange: ServerExchange) -> None:
+        """Answer another node's question."""
+        try:
+            asked = msgspec.msgpack.decode(await exchange.body.read_all(), type=QuotaQuestion)
+        except BrokenExchangeError as error:
+            self._log_unreadable("quota question", str(error))
+            exchange.abort()
+            return
+        except msgspec.DecodeError as error:
+            self._log_unreadable("quota question", str(error))
+            exchange.respond(400, [])
+            return
+        self.refresh()
+        answer = await self.desk.answer(asked)
+        exchange.respond(200, [], msgspec.msgpack.encode(answer))
+
+    def _read(self, data: bytes) -> QuotaAnswer | None:
+        try:
+            return msgspec.msgpack.decode(data, type=QuotaAnswer)
+        except msgspec.DecodeError as error:
+            self._log_unreadable("quota answer", str(error))
+            return None
+
+    def _log_unreadable(self, what: str, reason: str) -> None:
+        self._log.event(
+            "peer_message_unreadable",
+            code=ResultCode.PEER_MESSAGE_UNREADABLE.number,
+            message=what,
+            reason=reason[:MAX_LOGGED_REASON],
+        )
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -15,6 +15,7 @@
 from hoisthook.adapter.http.client_pool import ClientPool
 from hoisthook.adapter.operator_service import OperatorService
 from hoisthook.admission.concurrency_share import ConcurrencyShare
+from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.configuration.configuration_desk import ConfigurationDesk
 from hoisthook.configuration.configuration_follower import ConfigurationFollower
 from hoisthook.configuration.configuration_state import ConfigurationState
@@ -31,7 +32,6 @@
 from hoisthook.membership.pause_guard import TICK_SECONDS
 from hoisthook.membership.pause_guard import PauseGuard
 from hoisthook.membership.reader_choice import is_reader
-from hoisthook.mesh.background_tasks import BackgroundTasks
 from hoisthook.node import wire
 from hoisthook.node.beside import Beside
 from hoisthook.node.crash_guard import CrashGuard
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -199,6 +199,17 @@
         "Do not repeat it; operators find it by its work in the log.",
     )
 
+    TEAM_OVER_QUOTA = CodeEntry(
+        2025, 429, Ran.NOT_RUN, "The team asks more than its quota.", "Come back as told."
+    )
+    TEAM_QUOTA_UNKNOWN = CodeEntry(
+        2026,
+        503,
+        Ran.NOT_RUN,
+        "No node that gives out the team's quota answers.",
+        "Come back as told.",
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -165,6 +165,26 @@
     extra: float = 0.0
 
 
+class MeshTeamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What holds for teams, all nodes together.
+
+    In any window a team gets no more than its quota allows for it, that share more, and the extra.
+
+    Attributes
+    ----------
+    quota_window_seconds : float
+        The window.
+    quota_over_share : float
+        By how much of its quota a team may exceed it.
+    quota_extra : float
+        Requests by which it may exceed it besides.
+    """
+
+    quota_window_seconds: float = 5.0
+    quota_over_share: float = 0.0
+    quota_extra: float = 0.0
+
+
 class MeshLoggingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the node writes to standard output, as JSON lines.
 
@@ -192,4 +212,5 @@
     measure: MeshMeasureSettings = MeshMeasureSettings()
     routing: MeshRoutingSettings = MeshRoutingSettings()
     cold: MeshColdSettings = MeshColdSettings()
+    teams: MeshTeamSettings = MeshTeamSettings()
     logging: MeshLoggingSettings = MeshLoggingSettings()
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -153,6 +153,9 @@
         ("cold.rate_factor", settings.cold.rate_factor, 0.0, 1000.0),
         ("cold.extra", settings.cold.extra, 0.0, 1e6),
         ("routing.data_centre_cost", settings.routing.data_centre_cost, 0.0, 100.0),
+        ("teams.quota_window_seconds", settings.teams.quota_window_seconds, 0.1, 600.0),
+        ("teams.quota_over_share", settings.teams.quota_over_share, 0.0, 10.0),
+        ("teams.quota_extra", settings.teams.quota_extra, 0.0, 1e6),
         ("logging.lines_per_second", settings.logging.lines_per_second, 0, 1_000_000),
     ):
         if not low <= value <= high:
--- a/src/hoisthook/teams/team.py
+++ b/src/hoisthook/teams/team.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from hoisthook.identity import TeamName
 
@@ -12,8 +14,7 @@
 ROUTE_RANKS = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Quota:
+class Quota(msgspec.Struct, frozen=True, array_like=True):
     """How much a team may ask of all nodes together.
 
     Attributes
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -29,6 +29,7 @@
 from hoisthook.settings.mesh_settings import MeshListenSettings
 from hoisthook.settings.mesh_settings import MeshRetrySettings
 from hoisthook.settings.mesh_settings import MeshSettings
+from hoisthook.settings.mesh_settings import MeshTeamSettings
 from hoisthook.settings.mesh_settings import StoreSettings
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_store import StoreStandin
@@ -199,7 +200,7 @@
     ----------
     log : ListLog
         Shared by all nodes.
-    readers_per_data_centre, first_start, cold
+    readers_per_data_centre, first_start, cold, teams
         What nodes that are added are told.
     """
 
@@ -210,6 +211,7 @@
         self.readers_per_data_centre = 4
         self.first_start = False
         self.cold = MeshColdSettings()
+        self.teams = MeshTeamSettings()
         self._pool = ClientPool()
         self._store_pools: list[ClientPool] = []
         self._requests = 0
@@ -349,6 +351,7 @@
                 EVACUATION_PREFIX,
             ),
             cold=self.cold,
+            teams=self.teams,
             retry=MeshRetrySettings(extra=RETRY_EXTRA),
         )
         node = MeshNode(
--- a/tests/docs/test_logs_page.py
+++ b/tests/docs/test_logs_page.py
@@ -10,6 +10,7 @@
     "src/hoisthook/beside",
     "src/hoisthook/mesh",
     "src/hoisthook/retry",
+    "src/hoisthook/teams",
     "src/hoisthook/traffic",
     "platform/hoisthook_platform",
 )
--- /dev/null
+++ b/tests/teams/test_quota_fleet.py
@@ -0,0 +1,187 @@
+"""What all nodes together admit for a team, while the way between them breaks."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hoisthook.identity import TeamName
+from hoisthook.teams.team import Quota
+from hoisthook.teams.team import Team
+from standin.quota_fleet import Fleet
+from standin.quota_fleet import bound
+from standin.quota_fleet import play
+
+LARGE = Team(TeamName("large"), (), quota=Quota(95.0, 95.0))
+MIDDLE = Team(TeamName("middle"), (), quota=Quota(10.0, 10.0))
+SMALL = Team(TeamName("small"), (), quota=Quota(0.8, 0.8))
+TEAMS = (LARGE, MIDDLE, SMALL)
+# A team's usual, as a share of its quota.
+USUAL = 1 / 1.6
+SITE = (20, 19, 17, 18)
+SEEDS = range(20)
+FEW_SEEDS = range(5)
+
+
+async def usual(fleet: Fleet, seconds: float) -> None:
+    await asyncio.gather(
+        *(fleet.press(team, USUAL * team.quota.per_second, seconds) for team in TEAMS if team.quota)
+    )
+
+
+async def hot(fleet: Fleet, seconds: float) -> None:
+    """Each team asks seven times its usual."""
+    await asyncio.gather(
+        *(
+            fleet.press(team, 7 * USUAL * team.quota.per_second, seconds)
+            for team in TEAMS
+            if team.quota
+        )
+    )
+
+
+def assert_within(fleet: Fleet) -> None:
+    for team in TEAMS:
+        assert team.quota is not None
+        assert fleet.most_in_window(team) <= bound(team.quota), team.name
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_what_lies_within_a_quota_is_not_refused(seed: int) -> None:
+    fleet = play(SITE, seed, lambda fleet: usual(fleet, 30.0))
+    assert_within(fleet)
+    for team in TEAMS:
+        assert fleet.unknown[team.name] == 0
+        assert fleet.over[team.name] <= 0.01 * fleet.asked[team.name], team.name
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hot_teams_get_their_quota_and_no_more(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        await usual(fleet, 5.0)
+        await hot(fleet, 10.0)
+
+    fleet = play(SITE, seed, story)
+    assert_within(fleet)
+    # And the quota is used: ten seconds at the full rate, five at the usual one.
+    got = len(fleet.admitted[LARGE.name])
+    assert got >= 0.95 * (10.0 + 5.0 * USUAL) * 95.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_data_centre_that_is_cut_off_spends_its_own_part_alone(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        await hot(fleet, 4.0)
+        for node in fleet.nodes:
+            node.side = int(node.place.data_centre in ("dc-0", "dc-1"))
+        await hot(fleet, 6.0)
+        for node in fleet.nodes:
+            node.side = 0
+        await hot(fleet, 6.0)
+
+    assert_within(play(SITE, seed, story))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nodes_that_are_cut_off_one_by_one_add_nothing(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        await hot(fleet, 4.0)
+        for number, node in enumerate(fleet.nodes):
+            if fleet.random.random() < 0.35:
+                node.side = number + 1
+        await hot(fleet, 6.0)
+        for node in fleet.nodes:
+            node.side = 0
+        await hot(fleet, 6.0)
+
+    assert_within(play(SITE, seed, story))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nodes_that_are_killed_and_start_again_add_nothing(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        await hot(fleet, 4.0)
+        killed = [node for node in fleet.nodes if fleet.random.random() < 0.55]
+        for node in killed:
+            node.alive = False
+        await hot(fleet, 2.0)
+        for node in killed:
+            node.start_again()
+        await hot(fleet, 6.0)
+
+    assert_within(play(SITE, seed, story))
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_restart_of_all_adds_nothing_and_serves_at_once(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        await hot(fleet, 4.0)
+        for node in fleet.nodes:
+            node.start_again()
+        for team in TEAMS:
+            fleet.asked[team.name] = fleet.over[team.name] = 0
+        await usual(fleet, 6.0)
+
+    fleet = play(SITE, seed, story)
+    assert_within(fleet)
+    assert fleet.over[LARGE.name] <= 0.02 * fleet.asked[LARGE.name]
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_team_whose_callers_are_all_at_one_node_gets_all_of_its_quota(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        node = fleet.nodes[fleet.random.randrange(len(fleet.nodes))]
+        await fleet.press(LARGE, USUAL * 95.0, 10.0, [node])
+        await fleet.press(LARGE, 300.0, 10.0, [node])
+
+    fleet = play(SITE, seed, story)
+    assert_within(fleet)
+    assert len(fleet.admitted[LARGE.name]) >= 0.95 * (10.0 + 10.0 * USUAL) * 95.0
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_demand_that_moves_to_another_data_centre_takes_its_quota_along(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        for name in ("dc-0", "dc-2"):
+            there = [node for node in fleet.nodes if node.place.data_centre == name]
+            await fleet.press(LARGE, USUAL * 95.0, 8.0, there)
+
+    fleet = play(SITE, seed, story)
+    assert_within(fleet)
+    assert fleet.over[LARGE.name] <= 0.01 * fleet.asked[LARGE.name]
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_lower_quota_binds_one_window_later(seed: int) -> None:
+    lower = Team(LARGE.name, (), quota=Quota(20.0, 20.0))
+
+    async def story(fleet: Fleet) -> None:
+        await fleet.press(LARGE, 300.0, 5.0)
+        fleet.admitted[LARGE.name].clear()
+        await fleet.press(lower, 300.0, 10.0)
+
+    fleet = play(SITE, seed, story)
+    assert lower.quota is not None
+    assert fleet.most_in_window(lower) <= bound(lower.quota)
+
+
+def test_those_refused_together_are_told_different_times() -> None:
+    async def story(fleet: Fleet) -> None:
+        await fleet.press(MIDDLE, 200.0, 2.0)
+        refused = [await fleet.nodes[n].desk.admit(MIDDLE) for n in range(10)]
+        times = {round(r.retry_after, 3) for r in refused if r is not None}
+        assert len(times) >= 5
+        assert all(0 < time <= 2.0 for time in times)
+
+    play((10,), 1, story)
+
+
+def test_a_node_that_is_alone_in_its_data_centre_serves() -> None:
+    async def story(fleet: Fleet) -> None:
+        await asyncio.sleep(5.0)
+        await fleet.press(MIDDLE, 5.0, 4.0)
+
+    fleet = play((1, 1), 1, story)
+    assert fleet.unknown[MIDDLE.name] == 0
+    assert fleet.over[MIDDLE.name] == 0
