Tokens of requests that were not run go back at once or not at all

Cause: tokens left over were given back with a node's next question, however much later. Ruled out: two nodes giving out one quota (the fleet's tests of cuts and kills hold). Change: a token goes back within the lease that the bound pays for, by a message of its own if need be; an older one is lost.

--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -14,6 +14,7 @@
 from hoisthook.node.call import Refused
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
+from hoisthook.teams.quota_desk import OverQuota
 from hoisthook.teams.team import rank_of
 from hoisthook.teams.team_table import logged_digest
 from hoisthook.traffic.part_choice import PartChoice
@@ -27,7 +28,7 @@
     from hoisthook.port.caller_wire import CallerWire
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
-    from hoisthook.teams.quota_desk import OverQuota
+    from hoisthook.teams.held_tokens import Token
     from hoisthook.teams.team import Team
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.route import Route
@@ -37,10 +38,10 @@
 class QuotaGate(Protocol):
     """Admits teams' requests within their quotas."""
 
-    async def admit(self, team: Team) -> OverQuota | None:
-        """Admit a request, or say why not."""
+    async def admit(self, team: Team) -> Token | OverQuota | None:
+        """Return what admits a request, or why it is not admitted; None where any is."""
 
-    def not_run(self, team: Team) -> None:
+    def not_run(self, team: Team, token: Token) -> None:
         """Take in that a request that was admitted has not run."""
 
 
@@ -50,7 +51,7 @@
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Asked:
     """A request that may be served: what it asks for, who asks, and when that came."""
 
@@ -59,6 +60,8 @@
     configuration: TrafficConfiguration
     team: Team | None
     received: float
+    # By which it is counted towards its team's quota.
+    token: Token | None = None
 
     @property
     def rank(self) -> int:
@@ -235,13 +238,16 @@
         """Refuse what goes beyond a quota before it costs a slot, a hop or a queue place."""
         if asked.team is None:
             return None
-        over = await self._quotas.admit(asked.team)
-        return None if over is None else Refused(over.code, over.retry_after)
+        admitted = await self._quotas.admit(asked.team)
+        if isinstance(admitted, OverQuota):
+            return Refused(admitted.code, admitted.retry_after)
+        asked.token = admitted
+        return None
 
     def _not_run(self, asked: _Asked) -> None:
         """Leave what was admitted and refused by all backend servers to its team."""
-        if asked.team is not None:
-            self._quotas.not_run(asked.team)
+        if asked.team is not None and asked.token is not None:
+            self._quotas.not_run(asked.team, asked.token)
 
     def _conclude_unserved(
         self, exchange: ServerExchange, asked: _Asked, outcome: Refused | Lost
--- a/src/hoisthook/mesh/quota_exchange.py
+++ b/src/hoisthook/mesh/quota_exchange.py
@@ -23,6 +23,7 @@
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
+    from hoisthook.teams.held_tokens import Token
     from hoisthook.teams.quota_bounds import QuotaBounds
     from hoisthook.teams.quota_desk import OverQuota
     from hoisthook.teams.quota_owners import Seat
@@ -80,14 +81,17 @@
         """Stop what is under way."""
         self.desk.close()
 
-    async def admit(self, team: Team) -> OverQuota | None:
-        """Admit a request of a team, or say why not."""
+    async def admit(self, team: Team) -> Token | OverQuota | None:
+        """Return what admits a request, or why it is not admitted; None where any is."""
+        if team.quota is None:
+            return None
         self.refresh()
-        return await self.desk.admit(team)
+        return await self.desk.admit(team.name, team.quota)
 
-    def not_run(self, team: Team) -> None:
+    def not_run(self, team: Team, token: Token) -> None:
         """Take in that a request that was admitted has not run."""
-        self.desk.not_run(team)
+        if team.quota is not None:
+            self.desk.not_run(team.name, team.quota, token)
 
     def contacted(self, address: Address) -> None:
         """Note that another node was heard from."""
--- a/src/hoisthook/teams/held_tokens.py
+++ b/src/hoisthook/teams/held_tokens.py
@@ -1,8 +1,9 @@
-"""Tokens that a node holds for a moment, and those that it has to give back."""
+"""Tokens that a node holds for a moment, and those that it gives back."""
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,12 +15,26 @@
 MAX_TOGETHER = 16
 
 
+@dataclass(frozen=True, slots=True)
+class Token:
+    """Admits one request.
+
+    Attributes
+    ----------
+    given_at : float
+        When it was given out, at the earliest.
+    """
+
+    given_at: float
+
+
 class HeldTokens:
     """Tokens by team, each of use until its lease is over.
 
-    A busy node asks once for what it is likely to need within a lease. What it did not use goes
-    back with its next question, and so does the token of a request that was not run in the end:
-    where backend servers are full, callers come back, and what was refused is no part of a quota.
+    A busy node asks once for what it is likely to need within a lease. The token of a request that
+    was not run in the end goes back: where backend servers are full, callers come back, and what
+    was refused is no part of a quota. Whatever is older than a lease is lost rather than used or
+    given back: a window could hold it beside all that was given out within it.
 
     Parameters
     ----------
@@ -29,32 +44,35 @@
 
     def __init__(self, lease: float) -> None:
         self._lease = lease
-        self._until_by_team: dict[TeamName, deque[float]] = {}
+        self._held_by_team: dict[TeamName, deque[Token]] = {}
+        self._unused_by_team: dict[TeamName, deque[Token]] = {}
         self._asked_by_team: dict[TeamName, deque[float]] = {}
-        self._unused_by_team: dict[TeamName, int] = {}
 
-    def take(self, team: TeamName, now: float) -> bool:
-        """Use a token; return whether there was one."""
-        held = self._until_by_team.get(team)
+    def take(self, team: TeamName, now: float) -> Token | None:
+        """Return a token to use, or None if there is none."""
+        held = self._held_by_team.get(team)
         while held:
-            if held.popleft() > now:
-                return True
-            self.unused(team)
-        return False
+            token = held.popleft()
+            if self._holds(token, now):
+                return token
+        return None
 
-    def add(self, team: TeamName, count: int, given_at: float) -> None:
-        """Hold tokens that were given out at some moment at the earliest."""
+    def add(self, team: TeamName, count: int, token: Token) -> None:
+        """Hold tokens that were given out together."""
         if count > 0:
-            until = given_at + self._lease
-            self._until_by_team.setdefault(team, deque()).extend([until] * count)
+            self._held_by_team.setdefault(team, deque()).extend([token] * count)
 
-    def unused(self, team: TeamName, count: int = 1) -> None:
-        """Note tokens to give back."""
-        self._unused_by_team[team] = self._unused_by_team.get(team, 0) + count
+    def unused(self, team: TeamName, token: Token, now: float) -> bool:
+        """Note a token to give back; return whether it can be."""
+        if not self._holds(token, now):
+            return False
+        self._unused_by_team.setdefault(team, deque()).append(token)
+        return True
 
-    def take_unused(self, team: TeamName) -> int:
-        """Return how many tokens are to be given back, which are then no longer held here."""
-        return self._unused_by_team.pop(team, 0)
+    def take_unused(self, team: TeamName, now: float) -> int:
+        """Return how many tokens are given back now; they are no longer held here."""
+        tokens = self._unused_by_team.pop(team, ())
+        return sum(1 for token in tokens if self._holds(token, now))
 
     def wanted(self, team: TeamName, now: float) -> int:
         """Count a request; return how many tokens to ask for."""
@@ -64,3 +82,6 @@
             asked.popleft()
         expected = int(len(asked) * self._lease / COUNTED_SECONDS)
         return max(1, min(MAX_TOGETHER, expected))
+
+    def _holds(self, token: Token, now: float) -> bool:
+        return now - token.given_at < self._lease
--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -16,6 +16,7 @@
 from hoisthook.result_code import ResultCode
 from hoisthook.teams.away_nodes import AwayNodes
 from hoisthook.teams.held_tokens import HeldTokens
+from hoisthook.teams.held_tokens import Token
 from hoisthook.teams.quota_ledger import QuotaLedger
 from hoisthook.teams.quota_ledger import Share
 from hoisthook.teams.quota_owners import QuotaOwners
@@ -27,7 +28,6 @@
     from hoisthook.port.event_log import EventLog
     from hoisthook.teams.quota_bounds import QuotaBounds
     from hoisthook.teams.quota_owners import Seat
-    from hoisthook.teams.team import Team
 
 # Nobody lends while all are short, so the next to ask waits; who asks at once gets the same answer.
 DRY_SECONDS = 0.1
@@ -41,6 +41,8 @@
 # one that gives out the same quota there, so it gives out nothing.
 ALONE_SECONDS = 1.5
 UNKNOWN_RETRY_SECONDS = 0.3
+# Tokens of requests refused in the same moment go back together.
+GIVING_BACK_SECONDS = 0.02
 # A team over its quota gets a line so often at most.
 TOLD_SECONDS = 1.0
 
@@ -149,7 +151,8 @@
         self._held = HeldTokens(bounds.lease_seconds)
         self._owners = QuotaOwners(())
         self._away = AwayNodes()
-        self._probes = BackgroundTasks()
+        self._tasks = BackgroundTasks()
+        self._giving_back: set[TeamName] = set()
         self._borrowing: dict[TeamName, asyncio.Task[None]] = {}
         self._dry_until: dict[TeamName, float] = {}
         self._stood_in_at: dict[TeamName, float] = {}
@@ -170,36 +173,43 @@
 
     def close(self) -> None:
         """Stop what is under way."""
-        self._probes.close()
+        self._tasks.close()
         for task in self._borrowing.values():
             task.cancel()
 
-    async def admit(self, team: Team) -> OverQuota | None:
-        """Admit a request, or say why not."""
-        if team.quota is None:
-            return None
-        asked_at = self._clock.now()
-        wanted = self._held.wanted(team.name, asked_at)
-        if self._held.take(team.name, asked_at):
-            return None
-        question = QuotaQuestion(team.name, team.quota, wanted, self._held.take_unused(team.name))
-        answer = await self._ask_first(question)
+    async def admit(self, team: TeamName, quota: Quota) -> Token | OverQuota:
+        """Return what admits a request, or why it is not admitted."""
+        now = self._clock.now()
+        wanted = self._held.wanted(team, now)
+        token = self._held.take(team, now)
+        if token is not None:
+            return token
+        unused = self._held.take_unused(team, now)
+        answer = await self._ask_first(QuotaQuestion(team, quota, wanted, unused))
         if answer is None:
-            self._held.unused(team.name, question.unused)
             return OverQuota(ResultCode.TEAM_QUOTA_UNKNOWN, UNKNOWN_RETRY_SECONDS)
         if answer.tokens < 1:
             return OverQuota(ResultCode.TEAM_OVER_QUOTA, answer.retry_after)
-        self._held.add(team.name, int(answer.tokens) - 1, asked_at)
-        return None
+        token = Token(now)
+        self._held.add(team, int(answer.tokens) - 1, token)
+        return token
 
-    def not_run(self, team: Team) -> None:
+    def not_run(self, team: TeamName, quota: Quota, token: Token) -> None:
         """Give back the token of a request that was admitted and has not run."""
-        if team.quota is not None:
-            self._held.unused(team.name)
+        if self._held.unused(team, token, self._clock.now()) and team not in self._giving_back:
+            self._giving_back.add(team)
+            self._tasks.start(self._give_back(team, quota))
+
+    async def _give_back(self, team: TeamName, quota: Quota) -> None:
+        await asyncio.sleep(GIVING_BACK_SECONDS)
+        self._giving_back.discard(team)
+        unused = self._held.take_unused(team, self._clock.now())
+        if unused:
+            await self._ask_first(QuotaQuestion(team, quota, 0.0, unused))
 
     async def answer(self, question: QuotaQuestion) -> QuotaAnswer:
         """Answer another node."""
-        if question.wanted <= 0:
+        if question.wanted <= 0 and not question.unused:
             return QuotaAnswer(0.0)
         if question.is_lending:
             if not self._is_giving_out(question.team):
@@ -234,6 +244,8 @@
         if not self._is_first(team):
             self._begin_standing_in(team, now)
         self._ledger.put_back(team, share, question.unused, now)
+        if question.wanted <= 0:
+            return QuotaAnswer(0.0)
         tokens = self._ledger.take(team, share, question.wanted, now)
         for _ in range(MAX_BORROWINGS):
             if tokens or not await self._borrow(question, share):
@@ -290,7 +302,7 @@
         ranked = self._owners.ranked(team, data_centre)
         for seat in ranked:
             if self._away.is_probe_due(seat.peer.node, self._clock.now()):
-                self._probes.start(self._probe(seat, team))
+                self._tasks.start(self._probe(seat, team))
         return [seat for seat in ranked if seat.peer.node not in self._away]
 
     async def _probe(self, seat: Seat, team: TeamName) -> None:
--- a/standin/quota_fleet.py
+++ b/standin/quota_fleet.py
@@ -15,6 +15,7 @@
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
 from hoisthook.identity import TeamName
+from hoisthook.teams.held_tokens import Token
 from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.teams.quota_desk import QuotaDesk
 from hoisthook.teams.quota_owners import QuotaOwners
@@ -37,20 +38,29 @@
 FAR_SECONDS = 0.003
 # Nodes hear of each other as often as they ask their readers.
 CONTACT_SECONDS = 0.6
+# A request that backend servers refuse has heard so within this time.
+NOT_RUN_SECONDS = 1.0
 
 
 class LoopTime:
+    """The virtual loop's time as a clock."""
+
     def now(self) -> float:
+        """Return virtual seconds."""
         return asyncio.get_running_loop().time()
 
 
 @dataclass(frozen=True)
 class Place:
+    """A node and where it stands."""
+
     node: NodeId
     data_centre: DataCentre
 
 
 class OtherSeat:
+    """A node as another sees it."""
+
     def __init__(self, place: Place, *, is_self: bool) -> None:
         self.peer = place
         self.address: Address = (place.node, 1)
@@ -71,11 +81,13 @@
         return QuotaDesk(BOUNDS, self.place.data_centre, self, LoopTime(), NoLog())
 
     def start_again(self) -> None:
+        """Start knowing nothing of before."""
         self.alive = True
         self.desk = self._new_desk()
         self.desk.knows(self.fleet.owners_for(self))
 
     async def ask(self, seat: Seat, question: QuotaQuestion) -> QuotaAnswer | None:
+        """Return a node's answer, or None if the way there or back is cut."""
         other = self.fleet.by_node[seat.peer.node]
         near = other.place.data_centre == self.place.data_centre
         if not self.reaches(other):
@@ -89,6 +101,7 @@
         return answer if self.reaches(other) else None
 
     def reaches(self, other: Node) -> bool:
+        """Return whether messages pass."""
         return other.alive and self.alive and other.side == self.side
 
 
@@ -102,6 +115,7 @@
         self.asked: dict[TeamName, int] = defaultdict(int)
         self.over: dict[TeamName, int] = defaultdict(int)
         self.unknown: dict[TeamName, int] = defaultdict(int)
+        self.not_run_share = 0.0
         self._serving: list[asyncio.Task[None]] = []
         for number, count in enumerate(per_data_centre):
             for place in range(count):
@@ -112,14 +126,17 @@
 
     @property
     def nodes(self) -> list[Node]:
+        """Return all nodes."""
         return list(self.by_node.values())
 
     def owners_for(self, node: Node) -> QuotaOwners:
+        """Return who gives out quotas, as a node sees it."""
         return QuotaOwners(
             [OtherSeat(other.place, is_self=other is node) for other in self.by_node.values()]
         )
 
     async def keep_in_contact(self) -> None:
+        """Have nodes of a data centre hear of each other."""
         while True:
             await asyncio.sleep(CONTACT_SECONDS)
             for node in self.nodes:
@@ -147,12 +164,19 @@
                 self._serving.append(asyncio.create_task(self._one(node, team)))
 
     async def settle(self) -> None:
+        """Wait for the requests under way."""
         await asyncio.gather(*self._serving)
 
     async def _one(self, node: Node, team: Team) -> None:
         self.asked[team.name] += 1
-        refused = await node.desk.admit(team)
-        if refused is None:
+        assert team.quota is not None
+        refused = await node.desk.admit(team.name, team.quota)
+        if isinstance(refused, Token):
+            if self.random.random() < self.not_run_share:
+                # Refused by backend servers that are full, after a while.
+                await asyncio.sleep(self.random.random() * NOT_RUN_SECONDS)
+                node.desk.not_run(team.name, team.quota, refused)
+                return
             self.admitted[team.name].append(asyncio.get_running_loop().time())
         elif refused.code.value.http_status == 429:
             self.over[team.name] += 1
@@ -160,12 +184,14 @@
             self.unknown[team.name] += 1
 
     def most_in_window(self, team: Team) -> int:
+        """Return the most requests of a team that ran in any window."""
         times = sorted(self.admitted[team.name])
         ends = (bisect_right(times, at + BOUNDS.window - 1e-9) for at in times)
         return max((end - place for place, end in enumerate(ends)), default=0)
 
 
 def bound(quota: Quota) -> float:
+    """Return how many may run in a window."""
     within = quota.per_second * BOUNDS.window + quota.burst
     return within * (1.0 + BOUNDS.over_share) + BOUNDS.extra
 
--- /dev/null
+++ b/tests/teams/test_held_tokens.py
@@ -0,0 +1,39 @@
+from __future__ import annotations
+
+from hoisthook.identity import TeamName
+from hoisthook.teams.held_tokens import HeldTokens
+from hoisthook.teams.held_tokens import Token
+
+TEAM = TeamName("port")
+LEASE = 0.25
+
+
+def test_a_token_is_used_within_its_lease_only() -> None:
+    held = HeldTokens(LEASE)
+    held.add(TEAM, 2, Token(10.0))
+    assert held.take(TEAM, 10.2) == Token(10.0)
+    assert held.take(TEAM, 10.3) is None
+
+
+def test_a_token_goes_back_within_its_lease_only() -> None:
+    held = HeldTokens(LEASE)
+    assert held.unused(TEAM, Token(10.0), 10.1)
+    assert held.unused(TEAM, Token(10.05), 10.1)
+    assert not held.unused(TEAM, Token(9.0), 10.1)
+    assert held.take_unused(TEAM, 10.27) == 1
+    assert held.take_unused(TEAM, 10.27) == 0
+
+
+def test_a_busy_node_asks_for_what_it_needs_within_a_lease() -> None:
+    held = HeldTokens(LEASE)
+    wanted = [held.wanted(TEAM, 10.0 + n / 40) for n in range(80)]
+    assert wanted[0] == 1
+    assert wanted[-1] == 10
+    assert held.wanted(TEAM, 20.0) == 1
+
+
+def test_without_slack_nothing_is_held() -> None:
+    held = HeldTokens(0.0)
+    held.add(TEAM, 5, Token(1.0))
+    assert held.take(TEAM, 1.0) is None
+    assert not held.unused(TEAM, Token(1.0), 1.0)
--- a/tests/teams/test_quota_fleet.py
+++ b/tests/teams/test_quota_fleet.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hoisthook.identity import TeamName
+from hoisthook.teams.quota_desk import OverQuota
 from hoisthook.teams.team import Quota
 from hoisthook.teams.team import Team
 from standin.quota_fleet import Fleet
@@ -166,11 +167,36 @@
     assert fleet.most_in_window(lower) <= bound(lower.quota)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_tokens_of_requests_that_were_not_run_add_nothing_later(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.not_run_share = 0.6
+        await hot(fleet, 6.0)
+        fleet.not_run_share = 0.0
+        await hot(fleet, 6.0)
+
+    assert_within(play(SITE, seed, story))
+
+
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_requests_that_were_not_run_leave_their_quota_to_others(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        fleet.not_run_share = 0.5
+        await fleet.press(LARGE, 1.5 * 95.0, 10.0)
+
+    fleet = play(SITE, seed, story)
+    assert_within(fleet)
+    # Half of it is not run: what runs lies within the quota.
+    assert fleet.over[LARGE.name] <= 0.3 * fleet.asked[LARGE.name]
+
+
 def test_those_refused_together_are_told_different_times() -> None:
     async def story(fleet: Fleet) -> None:
         await fleet.press(MIDDLE, 200.0, 2.0)
-        refused = [await fleet.nodes[n].desk.admit(MIDDLE) for n in range(10)]
-        times = {round(r.retry_after, 3) for r in refused if r is not None}
+        assert MIDDLE.quota is not None
+        desks = [fleet.nodes[n].desk for n in range(10)]
+        refused = [await desk.admit(MIDDLE.name, MIDDLE.quota) for desk in desks]
+        times = {round(r.retry_after, 3) for r in refused if isinstance(r, OverQuota)}
         assert len(times) >= 5
         assert all(0 < time <= 2.0 for time in times)
 
