All slots of a backend server are used unless its last ones are seen to take more than they give

Cause: four fifths of the slots, rounded down, were used everywhere, which leaves one of three and one of five idle. Servers that slow down when nearly full are worth that, others are not, and nothing they say tells which is which. So neither fits all. Change: a server's slots are all used until requests beyond the part take longer, with certainty, by more than the slots add (admission/usable_slots.py); the part is tried against all again after a minute. Plays on both kinds follow.

--- a/src/hoisthook/admission/admitter.py
+++ b/src/hoisthook/admission/admitter.py
@@ -10,6 +10,7 @@
 from hoisthook.admission.admission_policy import AdmissionPolicy
 from hoisthook.admission.demand import Demand
 from hoisthook.admission.priority_gate import PriorityGate
+from hoisthook.admission.usable_slots import UsableSlots
 from hoisthook.admission.work_times import WorkTimes
 
 if TYPE_CHECKING:
@@ -54,12 +55,15 @@
         Seconds that it was to take where nothing slows it.
     slowdown : float
         What the last report said at its start.
+    running : int
+        How many ran there as it began, itself included.
     """
 
     slot: Slot
     route: RouteName
     work: float
     slowdown: float
+    running: int = 1
 
 
 class Admitter:
@@ -74,7 +78,7 @@
     budget : MeasureBudget
         Bounds the reads.
     usable_share : float
-        Share of its slots that is used.
+        Share of its slots that is used where it slows down when nearly full.
     clock : Clock
         Monotonic, the loop's own.
     """
@@ -89,7 +93,8 @@
     ) -> None:
         self._reader = reader
         self._budget = budget
-        self._usable_share = usable_share
+        self._usable = UsableSlots(usable_share)
+        self._slots = DEFAULT_SLOTS
         self._clock = clock
         self._work = WorkTimes()
         self._holding: asyncio.Task[None] | None = None
@@ -170,7 +175,9 @@
             if waiting is not None:
                 waiting(max(0.0, until - self._clock.now()))
         slot = await self.gate.enter(demand, until)
-        return None if slot is None else Stay(slot, route, demand.work, self.speed.slowdown)
+        if slot is None:
+            return None
+        return Stay(slot, route, demand.work, self.speed.slowdown, self.gate.running)
 
     def leave(self, stay: Stay) -> None:
         """Give a request's slot back."""
@@ -183,6 +190,9 @@
     def worked(self, stay: Stay, seconds: float) -> None:
         """Learn from a request that ran to its end."""
         self.gave_up(stay, seconds)
+        if self._work.is_known(stay.route):
+            ratio = seconds / (stay.work * max(1.0, stay.slowdown))
+            self._usable.finished(self._slots, (stay.running, self.gate.running), ratio)
         self._work.learn(stay.route, seconds, stay.slowdown)
 
     def gave_up(self, stay: Stay, seconds: float) -> None:
@@ -191,7 +201,8 @@
 
     def has_slots(self, slots: int) -> None:
         """Take in how many requests the backend server can run at once; 0 if not known."""
-        limit = max(1, int((slots or DEFAULT_SLOTS) * self._usable_share))
+        self._slots = slots or DEFAULT_SLOTS
+        limit = self._usable.limit(self._slots, self._clock.now())
         if limit != self.gate.limit:
             self.gate.set_limit(limit)
 
--- a/src/hoisthook/admission/work_times.py
+++ b/src/hoisthook/admission/work_times.py
@@ -40,6 +40,11 @@
             return self.usual(route, target_latency) * SPREAD_SHARE_OF_WORK
         return known.deviation
 
+    def is_known(self, route: RouteName) -> bool:
+        """Return whether a route's requests have been seen often enough to judge by."""
+        known = self._time_by_route.get(route)
+        return known is not None and known.known
+
     def learn(self, route: RouteName, seconds: float, slowdown: float) -> None:
         """Take in how long a request took that began at some slowdown."""
         self._time_by_route.setdefault(route, ServiceTime(WARM_COUNT)).add(
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -61,7 +61,7 @@
     address : str
         Where it listens, ``host:port``.
     usable_share : float
-        Share of its slots that is used: backend servers slow down when nearly full.
+        Share of its slots that is used where it is seen to slow down when nearly full.
     """
 
     address: str
--- /dev/null
+++ b/tests/admission/test_usable_slots.py
@@ -0,0 +1,65 @@
+"""All slots of a server are used unless its last ones take more than they give."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from hoisthook.admission.usable_slots import MEMORY_SECONDS
+from hoisthook.admission.usable_slots import UsableSlots
+
+SHARE = 0.8
+SLOTS = (3, 5, 6, 9, 12, 18)
+
+
+def play(slots: int, knee: float, seed: int, *, requests: int = 400) -> list[int]:
+    """Serve requests whose work varies, at random numbers of others; return the limits used."""
+    chance = random.Random(seed)
+    usable = UsableSlots(SHARE)
+    part = max(1, int(slots * SHARE))
+    limits = []
+    for number in range(requests):
+        limit = usable.limit(slots, number / 50)
+        limits.append(limit)
+        begun = chance.randint(1, limit)
+        ended = max(1, min(limit, begun + chance.randint(-1, 1)))
+        ratio = chance.lognormvariate(0.0, 0.3) * (knee if begun > part else 1.0)
+        # A slow moment that no report told of in time.
+        if chance.random() < 0.05:
+            ratio *= 7.0
+        usable.finished(slots, (begun, ended), ratio)
+    return limits
+
+
+@pytest.mark.parametrize("slots", SLOTS)
+def test_a_server_that_bears_all_of_its_slots_gets_all(slots: int) -> None:
+    for seed in range(10):
+        limits = play(slots, 1.0, seed)
+        assert limits.count(slots) >= 0.9 * len(limits)
+
+
+@pytest.mark.parametrize("slots", SLOTS)
+def test_a_server_that_slows_down_when_nearly_full_gets_a_part(slots: int) -> None:
+    part = max(1, int(slots * SHARE))
+    for seed in range(10):
+        limits = play(slots, 1.9, seed)
+        assert limits[-1] == part
+        assert limits.index(part) <= 250
+
+
+def test_what_runs_beside_few_others_tells_nothing_of_a_full_server() -> None:
+    usable = UsableSlots(SHARE)
+    for _ in range(200):
+        usable.finished(6, (2, 2), 3.0)
+    assert usable.limit(6, 0.0) == 6
+
+
+def test_all_slots_are_tried_again_after_a_while() -> None:
+    usable = UsableSlots(SHARE)
+    for _ in range(50):
+        usable.finished(6, (2, 2), 1.0)
+        usable.finished(6, (6, 6), 2.0)
+    assert usable.limit(6, 10.0) == 4
+    assert usable.limit(6, 9.0 + MEMORY_SECONDS) == 4
+    assert usable.limit(6, 11.0 + MEMORY_SECONDS) == 6
