A store that comes back from an older copy takes nothing back that was in force

Cause: evacuations, and whoever reads on from an offset, ordered what they believe by offset alone; an older copy gives offsets out again, so a reader took an old end for a new one, and what the copy lacked was taken as withdrawn. Change: the store's answers say in which history they are; a place in the log is ordered by history first. After a return the newest records are read anew; an evacuation that is not listed stays, one whose withdrawal is lost is not taken up, until what was lost has been written again. Nodes that registered within a minute, and verdicts on crashing work, write their records again, spread over time. Peers tell each other of the return; a store still in the earlier history counts as away.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -6,10 +6,13 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.exceptions import StoreUnavailableError
-from hoisthook.identity import DataCentre
+from hoisthook.membership.store_era import revision_at
+from hoisthook.result_code import ResultCode
 from hoisthook.traffic.configuration_holder import ConfigurationSource
+from hoisthook.traffic.evacuation_reading import EvacuationReading
 
 if TYPE_CHECKING:
+    from hoisthook.membership.store_era import StoreEra
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.mesh.store_readers import StoreReaders
@@ -72,6 +75,8 @@
         Gets which data centres are evacuated.
     evacuation_prefix : str
         Keys that begin so and go on with a data centre ask for its evacuation; empty for none.
+    era : StoreEra
+        Told of the store's, and tells when it came back older.
     sync : PeerSync
         Told whether the store answers; asks peers.
     readers : StoreReaders
@@ -96,6 +101,7 @@
         holder: ConfigurationHolder,
         evacuations: Evacuations,
         evacuation_prefix: str,
+        era: StoreEra,
         sync: PeerSync,
         readers: StoreReaders,
         listed: asyncio.Event,
@@ -109,9 +115,11 @@
         self._decode = decode
         self._holder = holder
         self._evacuations = evacuations
-        self._evacuation_prefix = evacuation_prefix
         # As of `_offset`, in this node's own reading of the log.
-        self._evacuated: set[DataCentre] = set()
+        self._evacuated = EvacuationReading(evacuation_prefix)
+        self._is_doubted = False
+        self._era = era
+        era.on_change(self._came_back_older)
         self._sync = sync
         self._readers = readers
         self._listed = listed
@@ -192,30 +200,57 @@
 
     async def _read_once(self) -> bool:
         """Read or wait once; return whether there were records."""
-        if self._offset is None:
+        if self._is_doubted and not self._evacuated.is_doubted(self._clock.now()):
+            self._is_doubted = False
+            self._offset = None
+        offset = self._offset
+        if offset is None:
             page = await self._store.newest(self._topic)
-            # A key that was removed is not listed.
-            self._evacuated.clear()
+            self._check_era(page)
+            self._evacuated.take_list(page.records, self._clock.now())
         else:
-            following = await self._store.changes(self._topic, self._offset, self._wait())
+            following = await self._store.changes(self._topic, offset, self._wait())
             if following is None:
-                # The records in between are not kept any more.
-                self._log.event("configuration_history_lost", offset=self._offset)
+                # The records in between are not kept any more, or the store has come back from a
+                # copy that ends before them.
+                self._log.event("configuration_history_lost", offset=offset)
                 self._offset = None
                 return False
             page = following
+            self._check_era(page)
+            if self._offset is None:
+                # Its offsets are not those that were asked for.
+                return False
+            self._evacuated.take_changes(page.records)
         self._offset = page.end
         return self._take(page)
 
+    def _check_era(self, page: RecordPage) -> None:
+        """Pass over an answer of a history that the store has left, as peers have told."""
+        self._era.heard(page.era)
+        if page.era is not None and page.era != self._era.current:
+            self._offset = None
+            raise StoreUnavailableError(ResultCode.STORE_UNAVAILABLE, "of an earlier history")
+
+    def _came_back_older(self) -> None:
+        """Read the newest records again, and once more when what was lost is written again."""
+        self._evacuated.came_back_older(self._clock.now())
+        self._is_doubted = True
+        self._offset = None
+
     def _wait(self) -> float:
         if self._sync.store_away:
             # Asks only whether the store is back.
             return 0.0
+        if self._is_doubted:
+            return MIN_WAIT_SECONDS
         return MIN_WAIT_SECONDS + self._randomness.random() * (MAX_WAIT_SECONDS - MIN_WAIT_SECONDS)
 
     def _take(self, page: RecordPage) -> bool:
         # First, so that no other node gets a configuration from here without them.
-        self._take_evacuations(page)
+        revision = revision_at(page.era or 0, page.end)
+        wanted = self._evacuated.data_centres
+        self._evacuations.offer(revision, wanted, ConfigurationSource.STORE)
         published = [r.value for r in page.records if r.key == self._key and r.value]
         read = [configuration for raw in published if (configuration := self._decode(raw))]
         if read:
@@ -224,20 +259,6 @@
             self._holder.offer(newest, ConfigurationSource.STORE)
         return bool(page.records)
 
-    def _take_evacuations(self, page: RecordPage) -> None:
-        prefix = self._evacuation_prefix
-        if not prefix:
-            return
-        for record in page.records:
-            if not record.key.startswith(prefix):
-                continue
-            data_centre = DataCentre(record.key.removeprefix(prefix))
-            if record.value:
-                self._evacuated.add(data_centre)
-            else:
-                self._evacuated.discard(data_centre)
-        self._evacuations.offer(page.end, self._evacuated, ConfigurationSource.STORE)
-
     async def _store_failed(self, error: StoreUnavailableError) -> None:
         if not self._sync.store_away:
             self._sync.store_away = True
--- a/src/hoisthook/mesh/crash_defence.py
+++ b/src/hoisthook/mesh/crash_defence.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from hoisthook.identity import ServiceName
+    from hoisthook.membership.store_era import StoreEra
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.port.clock import Clock
@@ -51,11 +52,12 @@
         self._news = CrashNews(directory, sync, self._clock)
         self.watch.on_reported(self._news.tell)
 
-    def keep_in(self, store: RecordStore, topic: str) -> CrashRecords:
+    def keep_in(self, store: RecordStore, topic: str, era: StoreEra) -> CrashRecords:
         """Keep in the store what is refused from now on; return what reads it there."""
         self._records = CrashRecords(
             topic, store, self.evidence, self.watch, self._clock, self._log
         )
+        era.on_change(self._records.write_again)
         return self._records
 
     def close(self) -> None:
--- a/src/hoisthook/mesh/crash_records.py
+++ b/src/hoisthook/mesh/crash_records.py
@@ -90,6 +90,8 @@
         self._log = log
         self._wall = wall
         self._writing = BackgroundTasks()
+        # What this node keeps in the store now.
+        self._kept_by_key: dict[str, KeyedRecord] = {}
         evidence.on_refused(self._refused)
 
     def close(self) -> None:
@@ -111,6 +113,11 @@
         self._evidence.merge(aged, self._clock.now())
         return True
 
+    def write_again(self) -> None:
+        """Write what the store may have lost with the copy that it came back from."""
+        for record in self._kept_by_key.values():
+            self._writing.start(self._write(record))
+
     def _refused(self, service: ServiceName, work: WorkId) -> None:
         if not self._watch.has_blamed(work):
             return
@@ -126,9 +133,11 @@
 
         What a writer that ends leaves behind is too old to count, and stays.
         """
+        self._kept_by_key[record.key] = record
         await self._write(record)
         while (left := self._evidence.refused_for(service, work, self._clock.now())) > 0:
             await asyncio.sleep(left)
+        del self._kept_by_key[record.key]
         await self._write(KeyedRecord(record.key, b""))
 
     async def _write(self, record: KeyedRecord) -> None:
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -15,6 +15,7 @@
 from hoisthook.identity import ServiceName
 from hoisthook.identity import parse_address
 from hoisthook.measure.measure_budget import MeasureBudget
+from hoisthook.membership.store_era import StoreEra
 from hoisthook.mesh.backend_link import BackendLink
 from hoisthook.mesh.configuration_watch import ConfigurationWatch
 from hoisthook.mesh.crash_defence import CrashDefence
@@ -132,12 +133,14 @@
             log=log,
         )
         self.directory = PeerDirectory(self._me(service), log)
+        self.era = StoreEra(log)
         self.sync = PeerSync(
             self.directory,
             self.configuration,
             self.evacuations,
             ConfigurationExchange(self.configuration, decode, log),
             self.crashes.evidence,
+            self.era,
             self._peer_pool,
             clock,
             self._randomness,
@@ -164,7 +167,8 @@
             store,
             self.sync,
             readers,
-            self.crashes.keep_in(store, settings.store.nodes_topic),
+            self.crashes.keep_in(store, settings.store.nodes_topic, self.era),
+            self.era,
             clock,
             self._randomness,
             log,
@@ -178,6 +182,7 @@
             holder=self.configuration,
             evacuations=self.evacuations,
             evacuation_prefix=settings.store.evacuation_prefix,
+            era=self.era,
             sync=self.sync,
             readers=readers,
             listed=self.directory.listed,
@@ -269,6 +274,7 @@
     def _forget_connections(self) -> None:
         self.crashes.close()
         self._quotas.close()
+        self._registration.close()
         self._hop.close()
         self.link.close()
         self._backend_pool.close()
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -29,6 +29,7 @@
     from hoisthook.identity import Address
     from hoisthook.identity import DataCentre
     from hoisthook.identity import NodeId
+    from hoisthook.membership.store_era import StoreEra
     from hoisthook.mesh.peer import Peer
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_directory import PeerDirectory
@@ -82,6 +83,8 @@
         Tells what others lack of it, and takes in what they tell.
     crashes : CrashEvidence
         Which work has ended backend servers.
+    era : StoreEra
+        The store's; told on.
     pool : ClientPool
         Connections to other nodes.
     clock : Clock
@@ -99,6 +102,7 @@
         evacuations: Evacuations,
         exchange: ConfigurationExchange,
         crashes: CrashEvidence,
+        era: StoreEra,
         pool: ClientPool,
         clock: Clock,
         randomness: Randomness,
@@ -109,6 +113,7 @@
         self._evacuations = evacuations
         self._exchange = exchange
         self._crashes = crashes
+        self._era = era
         self._tells_crashes = False
         self._pool = pool
         self._randomness = randomness
@@ -266,6 +271,7 @@
             evacuations=self._evacuations.revision,
             crash_digest=self._crashes.digest(directory.me.service),
             crashes=self._crashes_to_tell() if wants_news else [],
+            era=self._era.current,
         )
 
     def _crashes_to_tell(self) -> list[CrashReport]:
@@ -293,6 +299,7 @@
         # Before the hold: findings bear their age at the moment of the question.
         self._take_findings(question)
         self._crashes.merge(question.crashes, self._clock.now())
+        self._era.heard(question.era)
         if question.hold > 0 and not self._has_changes_for(question):
             await self._wait_for_change(min(question.hold, MAX_HOLD_SECONDS))
         suspected, cleared = self._suspicions_for(question)
@@ -307,6 +314,7 @@
             cleared,
             *self._evacuations_for(question),
             *self._crashes_for(question),
+            era=self._era.current,
         )
         exchange.respond(200, [], encode_message(reply))
 
@@ -382,6 +390,7 @@
 
     async def _take(self, reply: SyncReply, address: Address, question: SyncQuestion) -> None:
         self._directory.merge(reply.peers, "peer")
+        self._era.heard(reply.era)
         now = self._clock.now()
         # Handed on to those that ask here.
         self._directory.others_suspect(self._suspicions.adopt(reply.suspected, now), now)
--- a/src/hoisthook/mesh/registration.py
+++ b/src/hoisthook/mesh/registration.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.exceptions import StoreUnavailableError
 from hoisthook.mesh.peer import Peer
 from hoisthook.port.record_store import KeyedRecord
@@ -16,6 +18,7 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    from hoisthook.membership.store_era import StoreEra
     from hoisthook.mesh.crash_records import CrashRecords
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.mesh.peer_sync import PeerSync
@@ -35,6 +38,12 @@
 # be told. With 195 nodes in five data centres 13 read, and a data centre has none of them once in
 # 18 starts, in which its nodes read themselves.
 NODES_PER_EARLY_READER = 16
+# A store that comes back from an older copy lacks what was written in its last seconds: so long
+# ago a node must have registered to be sure that the copy holds it.
+COPY_AGE_SECONDS = 60.0
+# Nodes that register again do it spread over this time, each so many a second at most.
+AGAIN_SECONDS = 2.0
+AGAIN_PER_SECOND = 200.0
 # How long they wait beyond the time at which it is read, which covers the telling of 39 nodes.
 TOLD_SECONDS = 2.5
 # Readers read the list again in turn: one read in this time over all of them together, and none
@@ -66,6 +75,8 @@
         Who is told of it, and who reads again in turn.
     crash_records : CrashRecords
         Gets the records that are no nodes.
+    era : StoreEra
+        Tells when the store has come back from an older copy.
     clock : Clock
         Monotonic.
     randomness : Randomness
@@ -84,6 +95,7 @@
         sync: PeerSync,
         readers: StoreReaders,
         crash_records: CrashRecords,
+        era: StoreEra,
         clock: Clock,
         randomness: Randomness,
         log: EventLog,
@@ -101,6 +113,9 @@
         self._log = log
         self._first_start = first_start
         self._number = 0
+        self._registered_at = -math.inf
+        self._again = BackgroundTasks()
+        era.on_change(self._came_back_older)
         self._backoff = FIRST_BACKOFF_SECONDS
 
     async def run(self) -> None:
@@ -116,6 +131,20 @@
             if not self._readers.to_ask():
                 await self._until_done(self._read)
 
+    def close(self) -> None:
+        """Stop registering again."""
+        self._again.close()
+
+    def _came_back_older(self) -> None:
+        if self._clock.now() - self._registered_at < COPY_AGE_SECONDS:
+            self._again.start(self._register_again())
+
+    async def _register_again(self) -> None:
+        """Write the record that the store may have lost, not with all other nodes at once."""
+        seconds = max(AGAIN_SECONDS, len(self._directory) / AGAIN_PER_SECOND)
+        await asyncio.sleep(seconds * self._randomness.random())
+        await self._until_done(self._put)
+
     async def _register_with_all(self) -> None:
         """Register where nobody is registered yet, then learn who else has."""
         begun = self._clock.now()
@@ -162,6 +191,7 @@
         me = self._directory.me
         record = KeyedRecord(me.node, msgspec.json.encode(me))
         self._number = await self._store.put(self._topic, record)
+        self._registered_at = self._clock.now()
         self._log.event("registered", known=len(self._directory) - 1)
 
     async def _read(self) -> list[Peer]:
--- a/src/hoisthook/mesh/sync_messages.py
+++ b/src/hoisthook/mesh/sync_messages.py
@@ -97,6 +97,8 @@
         Of what it knows of work that ended backend servers of its service; 0 for nothing.
     crashes : list of CrashReport
         All that, where the other may lack some of it.
+    era : int or None
+        The store's, as far as it has heard.
     """
 
     sender: Peer
@@ -113,6 +115,7 @@
     hold: float = 0.0
     crash_digest: int = 0
     crashes: list[CrashReport] = []
+    era: int | None = None
 
 
 class SyncReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -143,6 +146,8 @@
         Of what it knows of work that ended backend servers of the asker's service.
     crashes : list of CrashReport
         All that, unless the asker knows the same.
+    era : int or None
+        The store's, as far as it has heard.
     """
 
     peers: list[Peer] = []
@@ -157,3 +162,4 @@
     evacuated: list[DataCentre] = []
     crash_digest: int = 0
     crashes: list[CrashReport] = []
+    era: int | None = None
--- a/src/hoisthook/port/record_store.py
+++ b/src/hoisthook/port/record_store.py
@@ -37,11 +37,15 @@
         Offset of the next record to come; of a list in several parts, when the first was read.
     unreadable : tuple of str
         What cannot be read, by key or offset; the other records hold.
+    era : int or None
+        Grows each time the store comes back from an older copy, with offsets of its own; None
+        where the store does not say.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     unreadable: tuple[str, ...] = ()
+    era: int | None = None
 
 
 class RecordStore(Protocol):
--- a/src/hoisthook/traffic/evacuations.py
+++ b/src/hoisthook/traffic/evacuations.py
@@ -16,10 +16,10 @@
 class Evacuations:
     """The evacuated data centres, in revisions that never go back.
 
-    A revision is a place in the operators' log: whoever has read the log up to there knows
-    all that was asked before, so of two views the one that reaches further holds, whichever
-    way it came. Backend servers of an evacuated data centre get nothing; what they run goes on
-    to its end, and their own calls go elsewhere.
+    A revision is a place in the operators' log, in one of its histories: whoever has read the log
+    up to there knows all that was asked before, so of two views the one that reaches further
+    holds, whichever way it came. Backend servers of an evacuated data centre get nothing; what
+    they run goes on to its end, and their own calls go elsewhere.
 
     Parameters
     ----------
--- a/standin/mesh_store.py
+++ b/standin/mesh_store.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hoisthook.adapter.http.message import Header
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
 
@@ -81,6 +82,8 @@
         Hosts that the outage is for; empty for all.
     calls : list of str
         Names of the calls taken, in order.
+    era : int or None
+        Told in all answers; None to tell nothing.
     on_append : callable or None
         Given topic and content of each record that a node appends; returns what is kept.
     """
@@ -90,6 +93,8 @@
         self.outage = Outage.NONE
         self.only: set[str] = set()
         self.calls: list[str] = []
+        self.era: int | None = None
+        self._copy: dict[str, list[bytes]] = {}
         self.on_append: Callable[[str, bytes], bytes] | None = None
         self._server = CallServer(address, self._serve)
 
@@ -115,6 +120,18 @@
         kept = self.topic(topic)
         kept.first = kept.end
 
+    def copy(self) -> None:
+        """Keep a copy of what is there now."""
+        self._copy = {name: list(topic.records) for name, topic in self.topic_by_name.items()}
+
+    def come_back_older(self) -> None:
+        """Go on from the copy, with offsets given out again."""
+        self.era = (self.era or 0) + 1
+        for name, topic in self.topic_by_name.items():
+            topic.records = self._copy.get(name, [])[:]
+            topic.first = min(topic.first, topic.end)
+            topic.append([])
+
     def topic(self, name: str) -> Topic:
         """Return a topic, made on first use."""
         return self.topic_by_name.setdefault(name, Topic())
@@ -132,7 +149,7 @@
         fields = parse_qs(query)
         if name == "log-append":
             offset = self._append(fields, body)
-            _answer(exchange, {"offset": offset, "end": self.topic(fields["topic"][0]).end})
+            self._answer(exchange, {"offset": offset, "end": self.topic(fields["topic"][0]).end})
         elif name == "log-newest":
             self._newest(exchange, fields)
         elif name == "log-read":
@@ -170,13 +187,13 @@
             for key, (value, offset) in rows[:MAX_ITEMS]
         ]
         more = len(rows) > MAX_ITEMS
-        _answer(exchange, {"items": items, "hasMore": more, "end": topic.end})
+        self._answer(exchange, {"items": items, "hasMore": more, "end": topic.end})
 
     async def _read(self, exchange: ServerExchange, fields: dict[str, list[str]]) -> None:
         topic = self.topic(fields["topic"][0])
         start = int(fields["from"][0])
-        if start < topic.first:
-            exchange.respond(410, [], msgspec.json.encode({"first": topic.first}))
+        if not topic.first <= start <= topic.end:
+            exchange.respond(410, self._said(), msgspec.json.encode({"first": topic.first}))
             return
         if topic.end <= start:
             try:
@@ -187,7 +204,14 @@
         body = READ_HEAD.pack(topic.end, topic.first)
         for content in topic.records[start:]:
             body += LENGTH.pack(len(content)) + content
-        exchange.respond(200, [], body)
+        exchange.respond(200, self._said(), body)
+
+    def _answer(self, exchange: ServerExchange, fields: dict[str, object]) -> None:
+        headers = [*self._said(), (b"content-type", b"application/json")]
+        exchange.respond(200, headers, msgspec.json.encode(fields))
+
+    def _said(self) -> list[Header]:
+        return [] if self.era is None else [(b"store-era", b"%d" % self.era)]
 
 
 def join_record(key: str, value: bytes) -> bytes:
@@ -199,7 +223,3 @@
     """Return key and value of a keyed record's content."""
     end = 1 + content[0]
     return content[1:end].decode(), content[end:]
-
-
-def _answer(exchange: ServerExchange, fields: dict[str, object]) -> None:
-    exchange.respond(200, [(b"content-type", b"application/json")], msgspec.json.encode(fields))
--- a/tests/docs/test_logs_page.py
+++ b/tests/docs/test_logs_page.py
@@ -8,6 +8,7 @@
 NAMED = re.compile(r"^\| ((?:`\w+`(?:, )?)+) \|", re.MULTILINE)
 SOURCES = (
     "src/hoisthook/beside",
+    "src/hoisthook/membership",
     "src/hoisthook/mesh",
     "src/hoisthook/retry",
     "src/hoisthook/teams",
--- /dev/null
+++ b/tests/mesh/test_store_era.py
@@ -0,0 +1,143 @@
+"""A store that comes back from an older copy takes nothing back that was in force."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hoisthook.identity import DataCentre
+from hoisthook.mesh import configuration_watch
+from hoisthook.mesh import registration
+from hoisthook.traffic import evacuation_reading
+from standin.mesh_system import NODES_TOPIC
+from standin.mesh_system import RouteOptions
+from standin.mesh_system import TeamOptions
+from tests.waiting import until
+
+if TYPE_CHECKING:
+    from standin.mesh_system import MeshSystem
+
+ONE = DataCentre("one")
+TWO = DataCentre("two")
+REWRITTEN_SECONDS = 0.8
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", 0.2)
+    monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", 0.4)
+    monkeypatch.setattr(evacuation_reading, "REWRITTEN_SECONDS", REWRITTEN_SECONDS)
+    monkeypatch.setattr(registration, "AGAIN_SECONDS", 0.2)
+
+
+async def running(system: MeshSystem, nodes: int = 4) -> None:
+    system.store.era = 1
+    system.readers_per_data_centre = 2
+    for _ in range(nodes):
+        await system.add("shop")
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+
+
+async def until_evacuated(system: MeshSystem, *data_centres: DataCentre) -> None:
+    wanted = frozenset(data_centres)
+    await until(lambda: all(m.node.evacuations.data_centres == wanted for m in system.machines))
+
+
+async def until_era(system: MeshSystem, era: int) -> None:
+    await until(lambda: all(m.node.era.current == era for m in system.machines))
+
+
+def evacuated_ever(system: MeshSystem) -> list[object]:
+    return [line["data_centres"] for line in system.log.named("evacuations_changed")]
+
+
+async def test_an_evacuation_stays_in_force(system: MeshSystem) -> None:
+    await running(system)
+    system.store.copy()
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+    changes = len(evacuated_ever(system))
+    system.store.come_back_older()
+    await until_era(system, 2)
+    system.evacuate("two")
+    await asyncio.sleep(2 * REWRITTEN_SECONDS)
+    await until_evacuated(system, TWO)
+    assert len(evacuated_ever(system)) == changes
+
+
+async def test_a_restoration_is_not_undone(system: MeshSystem) -> None:
+    await running(system)
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+    system.store.copy()
+    system.restore("two")
+    await until_evacuated(system)
+    changes = len(evacuated_ever(system))
+    system.store.come_back_older()
+    await until_era(system, 2)
+    system.restore("two")
+    await asyncio.sleep(2 * REWRITTEN_SECONDS)
+    await until_evacuated(system)
+    assert len(evacuated_ever(system)) == changes
+
+
+async def test_changes_go_on_from_offsets_given_out_again_also_twice_in_a_row(
+    system: MeshSystem,
+) -> None:
+    await running(system)
+    system.store.copy()
+    for version in range(2, 9):
+        system.publish(version, RouteOptions("shop"))
+    await system.until_configured(8)
+    system.store.come_back_older()
+    system.store.come_back_older()
+    await until_era(system, 3)
+    assert all(m.node.configuration.version == 8 for m in system.machines)
+    system.publish(9, RouteOptions("shop"))
+    await system.until_configured(9)
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+
+
+async def test_a_key_that_was_taken_away_stays_away(system: MeshSystem) -> None:
+    await running(system)
+    held = TeamOptions("port", ("old", "new"))
+    system.publish(2, RouteOptions("shop"), teams=[held])
+    await system.until_configured(2)
+    system.store.copy()
+    system.publish(3, RouteOptions("shop"), teams=[TeamOptions("port", ("new",))])
+    await system.until_configured(3)
+    system.store.come_back_older()
+    await until_era(system, 2)
+    for machine in system.machines:
+        assert (await system.call(machine, key="old"))[0] == 401
+        assert (await system.call(machine, key="new"))[0] == 200
+
+
+async def test_nodes_that_the_copy_lacks_register_again(system: MeshSystem) -> None:
+    system.store.copy()
+    await running(system)
+    assert len(system.store.topic(NODES_TOPIC).newest()) == 4
+    system.store.come_back_older()
+    await until_era(system, 2)
+    await until(lambda: len(system.store.topic(NODES_TOPIC).newest()) == 4)
+
+
+async def test_a_node_whose_way_still_leads_to_the_older_history_believes_its_peers(
+    system: MeshSystem,
+) -> None:
+    await running(system)
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+    told = system.machines[0].node
+    told.era.heard(2)
+    await until(lambda: told.sync.store_away)
+    assert told.evacuations.data_centres == frozenset({TWO})
+    system.store.era = 2
+    await until(lambda: not told.sync.store_away)
+    system.restore("two")
+    await until_evacuated(system)
