A request that waits behind another of its connection keeps its deadline

Cause: a request's time was counted from when its handler began, so behind a slow first one it was run for a caller that had given it up, and the backend server was handed time that was gone. Change: it is counted from when its head had arrived; one that is late by then is refused at once, not run.

--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import CONTINUE
@@ -12,8 +13,6 @@
 from hoisthook.adapter.http.message import encode_chunk
 
 if TYPE_CHECKING:
-    import asyncio
-
     from hoisthook.adapter.http.body_stream import BodyStream
     from hoisthook.adapter.http.message import RequestHead
     from hoisthook.adapter.http.server_connection import ServerConnection
@@ -33,12 +32,16 @@
     expects_go_ahead : bool
         Whether the caller holds its body back until it is told to go ahead. If it is
         answered before, it ends the body where it is and keeps the connection.
+    arrived : float
+        When its head was whole, on the loop's clock: before its handler runs where it waits behind
+        another request of its connection.
     """
 
     __slots__ = (
         "_chunked",
         "_connection",
         "_keep_alive",
+        "arrived",
         "body",
         "cancel_on_disconnect",
         "ended",
@@ -54,6 +57,7 @@
         self._connection = connection
         self._keep_alive = keep_alive
         self._chunked = False
+        self.arrived = asyncio.get_running_loop().time()
         self.head = head
         self.body = body
         self.cancel_on_disconnect = True
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -117,7 +117,8 @@
 
     async def handle(self, exchange: ServerExchange) -> None:
         """Serve one request of a caller."""
-        received = self._clock.now()
+        # A request that waited behind another of its connection has less time left.
+        received = exchange.arrived
         request = self._wire.decode(exchange.head)
         if isinstance(request, ResultCode):
             self._refuse(exchange, Refused(request, 0.0))
@@ -152,10 +153,14 @@
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
+        deadline = received + time_left
+        if deadline <= self._clock.now():
+            self._conclude_unserved(exchange, asked, Refused(ResultCode.DEADLINE_PASSED, 0.0))
+            return
         call: RoutedCall | None = None
         sent = False
         try:
-            async with asyncio.timeout(time_left):
+            async with asyncio.timeout_at(deadline):
                 over = await self._over_quota(asked)
                 if over is not None:
                     self._conclude_unserved(exchange, asked, over)
@@ -164,7 +169,7 @@
                 if isinstance(body, Refused):
                     self._conclude_unserved(exchange, asked, body)
                     return
-                call = self._call(exchange, asked, body, time_left)
+                call = self._call(exchange, asked, body, deadline)
                 sent = True
                 done = await self._dispatcher.dispatch(call)
         except BrokenExchangeError:
@@ -195,7 +200,7 @@
         )
 
     def _call(
-        self, exchange: ServerExchange, asked: _Asked, body: bytes, time_left: float
+        self, exchange: ServerExchange, asked: _Asked, body: bytes, deadline: float
     ) -> RoutedCall:
         request = asked.request
         route = asked.route
@@ -212,7 +217,7 @@
             headers=request.headers,
             body=body,
             received=asked.received,
-            deadline=asked.received + time_left,
+            deadline=deadline,
             target_latency=route.target_latency,
             priority=rank if maker is None else min(rank, maker.priority),
             team=None if asked.team is None else asked.team.name,
--- /dev/null
+++ b/tests/mesh/test_pipelining.py
@@ -0,0 +1,118 @@
+"""Requests that a caller sends before it has the answers to earlier ones."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from typing import TYPE_CHECKING
+
+from standin.mesh_system import RouteOptions
+from tests.waiting import until
+
+if TYPE_CHECKING:
+    from standin.mesh_system import Machine
+    from standin.mesh_system import MeshSystem
+
+MANY = 12
+
+
+async def entry_and_server(system: MeshSystem) -> tuple[Machine, Machine]:
+    entry = await system.add("front")
+    server = await system.add("shop", slots=20)
+    system.introduce_all()
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
+    return entry, server
+
+
+def request(name: str, *, deadline_ms: int = 2000, more: str = "") -> bytes:
+    head = f"GET /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: {name}\r\n"
+    return f"{head}x-deadline-ms: {deadline_ms}\r\n{more}\r\n".encode()
+
+
+async def send(entry: Machine, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    reader, writer = await asyncio.open_connection(*entry.node.callers_address)
+    writer.write(data)
+    return reader, writer
+
+
+async def read_until_closed(reader: asyncio.StreamReader) -> bytes:
+    async with asyncio.timeout(5.0):
+        return await reader.read()
+
+
+async def test_answers_come_in_the_order_of_the_requests(system: MeshSystem) -> None:
+    entry, server = await entry_and_server(system)
+    names = [f"p{number}" for number in range(MANY)]
+    last = request("last", more="connection: close\r\n")
+    reader, writer = await send(entry, b"".join(map(request, names)) + last)
+    answered = await read_until_closed(reader)
+    writer.close()
+    assert re.findall(rb"body of (\w+?)(?=HTTP|$)", answered) == [*(n.encode() for n in names), b"last"]
+    assert server.backend.runs == [*names, "last"]
+
+
+async def test_what_stands_behind_an_answer_that_closes_is_not_passed_on(
+    system: MeshSystem,
+) -> None:
+    entry, server = await entry_and_server(system)
+    data = request("first", more="connection: close\r\n") + request("second")
+    reader, writer = await send(entry, data)
+    answered = await read_until_closed(reader)
+    writer.close()
+    assert answered.count(b"HTTP/1.1 200") == 1
+    await asyncio.sleep(0.1)
+    assert server.backend.runs == ["first"]
+
+
+async def test_what_stands_behind_the_last_answer_of_a_node_that_stops_is_not_passed_on(
+    system: MeshSystem,
+) -> None:
+    entry, server = await entry_and_server(system)
+    server.backend.work_seconds = 0.4
+    reader, writer = await send(entry, request("first") + request("second"))
+    await until(lambda: server.backend.running == 1)
+    entry.node._callers.stopping = True
+    answered = await read_until_closed(reader)
+    writer.close()
+    assert b"connection: close" in answered
+    assert server.backend.runs == ["first"]
+
+
+async def test_a_slow_first_one_uses_up_the_time_of_those_behind_it(system: MeshSystem) -> None:
+    entry, server = await entry_and_server(system)
+    server.backend.work_seconds = 0.4
+    data = request("first") + request("second", deadline_ms=200) + request("third")
+    reader, writer = await send(entry, data)
+    async with asyncio.timeout(5.0):
+        answered = await reader.readuntil(b"body of third")
+    writer.close()
+    assert b"2004 DEADLINE_PASSED" in answered
+    assert server.backend.runs == ["first", "third"]
+    # What it waited is taken from the time that the backend server is given.
+    left = [int(a.headers[b"x-deadline-ms"]) for a in server.backend.arrivals]
+    assert left[1] <= 2000 - 390
+
+
+async def test_a_reset_ends_all_that_only_this_caller_waits_for(system: MeshSystem) -> None:
+    entry, server = await entry_and_server(system)
+    server.backend.work_seconds = 5.0
+    _, writer = await send(entry, request("first") + request("second"))
+    await until(lambda: server.backend.running == 1)
+    writer.transport.abort()
+    await until(lambda: server.backend.cancelled == ["first"])
+    assert server.backend.runs == ["first"]
+
+
+async def test_no_more_is_read_ahead_than_is_bounded(system: MeshSystem) -> None:
+    entry, server = await entry_and_server(system)
+    server.backend.work_seconds = 5.0
+    _, writer = await send(entry, b"".join(request(f"p{n}") for n in range(20_000)))
+    await until(lambda: server.backend.running == 1)
+    await asyncio.sleep(0.3)
+    connection = next(iter(entry.node._callers._connections))
+    # What one read of the socket brings is parsed whole; then nothing more is read.
+    waiting = len(connection._queue)
+    await asyncio.sleep(0.3)
+    assert len(connection._queue) == waiting < 20_000
+    writer.transport.abort()
