Quotas: each window is filled, rather than the rate alone

Cause: tokens accrued at the quota's rate, so a team over its quota got 5 r + b once and 5 r in each window after it, where 5 r + b may run. Change: tokens accrue at the rate that just fills a window, are saved up as far as the burst, and a count of the window holds the sum. Who begins anew starts at the level that the bound leaves beside what another may have given out just before, below 0 for a large team: it waits up to 0.6 s. Ruled out: the count alone, which lets a node that begins anew add a whole window to one just given out.

--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -147,7 +147,7 @@
         self._transport = transport
         self._clock = clock
         self._log = log
-        self._ledger = QuotaLedger(bounds)
+        self._ledger = QuotaLedger(bounds, clock.now())
         self._held = HeldTokens(bounds.lease_seconds)
         self._owners = QuotaOwners(())
         self._away = AwayNodes()
@@ -242,7 +242,7 @@
         share = self._share(question)
         now = self._clock.now()
         if not self._is_first(team):
-            self._begin_standing_in(team, now)
+            self._begin_standing_in(team, share, now)
         self._ledger.put_back(team, share, question.unused, now)
         if question.wanted <= 0:
             return QuotaAnswer(0.0)
@@ -329,10 +329,10 @@
     def _is_first(self, team: TeamName) -> bool:
         return any(s.is_self for s in self._owners.ranked(team, self._data_centre)[:1])
 
-    def _begin_standing_in(self, team: TeamName, now: float) -> None:
-        """Begin with nothing where another gave out the quota until now."""
+    def _begin_standing_in(self, team: TeamName, share: Share, now: float) -> None:
+        """Begin anew where another gave out the quota until now."""
         if now - self._stood_in_at.get(team, -math.inf) > ALONE_SECONDS:
-            self._ledger.distrust(now, team)
+            self._ledger.begin(team, share, now)
         self._stood_in_at[team] = now
 
     def _is_alone(self) -> bool:
--- a/src/hoisthook/teams/quota_ledger.py
+++ b/src/hoisthook/teams/quota_ledger.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hoisthook.teams.token_bucket import ROUNDING
 from hoisthook.teams.token_bucket import TokenBucket
+from hoisthook.teams.window_count import WindowCount
 
 if TYPE_CHECKING:
     from hoisthook.identity import TeamName
@@ -35,46 +37,81 @@
     part: float
 
 
+@dataclass(slots=True)
+class _Account:
+    """What a data centre may give out for a team, what it gave, and what others lent it."""
+
+    bucket: TokenBucket
+    given: WindowCount
+    # Tokens lent by others, each of use once; lost if they are not used soon.
+    lent: float = 0.0
+    lent_at: float = 0.0
+
+
 class QuotaLedger:
-    """One bucket of tokens a team, for the data centre whose nodes ask this one.
+    """One account a team, for the data centre whose nodes ask this one.
 
     Load pattern: a team asks several times its usual at all nodes at once, each of which sees a
     few requests a second and cannot tell by itself what the others admit. A token is taken for
     each request before it is admitted, so the sum over all nodes holds at every moment.
 
-    A bucket begins nearly empty, since whoever gave out tokens before may have given out all.
+    Tokens accrue at the rate at which a window is just filled, and may be saved up as far as the
+    quota's burst; besides, no window gets more than it may. So a team over its quota gets each
+    window full, and one that was idle its burst at once. Accrual alone bounds what came before
+    this node began, of which it knows nothing.
 
     Parameters
     ----------
     bounds : QuotaBounds
         What may be admitted.
+    now : float
+        Seconds on a monotonic clock.
     """
 
-    def __init__(self, bounds: QuotaBounds) -> None:
+    def __init__(self, bounds: QuotaBounds, now: float) -> None:
         self._bounds = bounds
-        self._bucket_by_team: dict[TeamName, TokenBucket] = {}
+        self._account_by_team: dict[TeamName, _Account] = {}
+        # Since when no other node gives out what this one does.
+        self._since = now
         # Until when the tokens to come are spoken for by requests that were told to come back.
         self._promised_until: dict[TeamName, float] = {}
 
     def __len__(self) -> int:
-        return len(self._bucket_by_team)
+        return len(self._account_by_team)
 
     def take(self, team: TeamName, share: Share, wanted: float, now: float) -> int:
         """Give out whole tokens for requests; return how many."""
-        return int(self._bucket(team, share, now).take(wanted, now))
+        account = self._account(team, share, now)
+        room = self._room(account, share, now)
+        lent = min(wanted, account.lent)
+        own = min(wanted - lent, max(0.0, room))
+        whole = float(int(lent + own + ROUNDING))
+        lent = min(lent, whole)
+        account.lent -= lent
+        account.bucket.take(whole - lent, now)
+        account.given.add(whole - lent, now)
+        return int(whole)
 
     def put_back(self, team: TeamName, share: Share, tokens: int, now: float) -> None:
         """Take back tokens that were not used."""
-        self._bucket(team, share, now).put_back(tokens, now)
+        if tokens > 0:
+            account = self._account(team, share, now)
+            account.bucket.put_back(tokens, now)
+            account.given.remove(tokens)
 
     def lend(self, team: TeamName, share: Share, wanted: float, now: float) -> float:
         """Give tokens, or parts of them, to another data centre; return how many."""
-        bucket = self._bucket(team, share, now)
-        return bucket.split(min(wanted, LENT_SHARE * bucket.level(now)), now)
+        account = self._account(team, share, now)
+        lent = min(wanted, LENT_SHARE * max(0.0, self._room(account, share, now)))
+        account.bucket.take(lent, now)
+        account.given.add(lent, now)
+        return lent
 
     def borrowed(self, team: TeamName, share: Share, tokens: float, now: float) -> None:
-        """Take in what another data centre has lent."""
-        self._bucket(team, share, now).add(tokens, now)
+        """Take in what another data centre has lent; it is counted there."""
+        account = self._account(team, share, now)
+        account.lent += tokens
+        account.lent_at = now
 
     def retry_after(self, team: TeamName, share: Share, now: float) -> float:
         """Return the seconds after which a request that got no token is to come back.
@@ -82,29 +119,49 @@
         Each is told a later moment than the one before, as far apart as tokens accrue, so that
         those refused together do not return together.
         """
-        bucket = self._bucket(team, share, now)
-        rate = bucket.rate or self._bounds.rate(share.quota)
-        first = now + min(bucket.seconds_to_one(now), MAX_RETRY_SECONDS)
+        account = self._account(team, share, now)
+        wait = account.bucket.seconds_to(1.0, now)
+        if account.given.total(now) + 1.0 > self._capacity(share):
+            wait = max(wait, account.given.seconds_to_less(now))
+        rate = account.bucket.rate or self._bounds.rate(share.quota)
+        first = now + min(wait, MAX_RETRY_SECONDS)
         moment = max(first, self._promised_until.get(team, first))
         if moment - now >= MAX_RETRY_SECONDS:
             moment = first
         self._promised_until[team] = moment + 1.0 / rate
         return max(MIN_RETRY_SECONDS, moment - now)
 
-    def distrust(self, now: float, team: TeamName | None = None) -> None:
-        """Begin again with nothing, for one team or all, where others may have given tokens out."""
-        for name, bucket in self._bucket_by_team.items():
-            if team in (None, name):
-                bucket.empty_to(0.0, now)
+    def distrust(self, now: float) -> None:
+        """Begin as after a start, where others may have given out tokens meanwhile."""
+        self._since = now
+        self._account_by_team.clear()
+
+    def begin(self, team: TeamName, share: Share, now: float) -> None:
+        """Begin to give out a quota that another node gave out until now."""
+        self._account_by_team[team] = self._new_account(share, now)
 
-    def _bucket(self, team: TeamName, share: Share, now: float) -> TokenBucket:
+    def _account(self, team: TeamName, share: Share, now: float) -> _Account:
+        account = self._account_by_team.get(team)
+        if account is None:
+            account = self._new_account(share, self._since)
+            self._account_by_team[team] = account
+        else:
+            rate = share.part * self._bounds.rate(share.quota)
+            depth = share.part * self._bounds.depth(share.quota)
+            account.bucket.resize(rate, depth, now)
+        if now - account.lent_at > self._bounds.lease_seconds:
+            account.lent = 0.0
+        return account
+
+    def _new_account(self, share: Share, since: float) -> _Account:
         rate = share.part * self._bounds.rate(share.quota)
         depth = share.part * self._bounds.depth(share.quota)
-        bucket = self._bucket_by_team.get(team)
-        if bucket is None:
-            start = share.part * self._bounds.start()
-            bucket = TokenBucket(rate, depth, start, now)
-            self._bucket_by_team[team] = bucket
-        else:
-            bucket.resize(rate, depth, now)
-        return bucket
+        bucket = TokenBucket(rate, depth, share.part * self._bounds.start(share.quota), since)
+        return _Account(bucket, WindowCount(self._bounds.window + self._bounds.lease_seconds))
+
+    def _room(self, account: _Account, share: Share, now: float) -> float:
+        left = self._capacity(share) - account.given.total(now)
+        return min(account.bucket.level(now), left)
+
+    def _capacity(self, share: Share) -> float:
+        return share.part * self._bounds.capacity(share.quota)
--- a/src/hoisthook/teams/token_bucket.py
+++ b/src/hoisthook/teams/token_bucket.py
@@ -28,37 +28,21 @@
         self._at = now
 
     def level(self, now: float) -> float:
-        """Return the tokens held at a moment."""
+        """Return the tokens held at a moment; below 0 where more are owed."""
         grown = self.rate * max(0.0, now - self._at)
-        # Tokens lent by others may stand above the depth; nothing accrues on top of them.
         return max(self._level, min(self.depth, self._level + grown))
 
-    def take(self, wanted: float, now: float) -> float:
-        """Take up to some number of tokens; return how many, in whole ones."""
-        level = self.level(now)
-        taken = float(int(min(wanted, level + ROUNDING)))
-        self._set(level - taken, now)
-        return taken
-
-    def split(self, wanted: float, now: float) -> float:
-        """Take up to some number of tokens, in fractions; return how many."""
-        level = self.level(now)
-        taken = min(wanted, level)
-        self._set(level - taken, now)
-        return taken
-
-    def add(self, tokens: float, now: float) -> None:
-        """Put in tokens that were taken from another bucket."""
-        self._set(self.level(now) + tokens, now)
+    def take(self, tokens: float, now: float) -> None:
+        """Take tokens that are there."""
+        self._set(self.level(now) - tokens, now)
 
     def put_back(self, tokens: float, now: float) -> None:
         """Put in tokens that were taken here and not used; what exceeds the depth is lost."""
-        level = self.level(now)
-        self._set(max(level, min(self.depth, level + tokens)), now)
+        self._set(min(self.depth, self.level(now) + tokens), now)
 
-    def seconds_to_one(self, now: float) -> float:
-        """Return the seconds until there is a whole token."""
-        missing = 1.0 - self.level(now)
+    def seconds_to(self, tokens: float, now: float) -> float:
+        """Return the seconds until so many are there."""
+        missing = tokens - self.level(now)
         if missing <= 0:
             return 0.0
         return missing / self.rate if self.rate > 0 else float("inf")
@@ -71,10 +55,6 @@
         self.rate = rate
         self.depth = depth
 
-    def empty_to(self, level: float, now: float) -> None:
-        """Keep no more than some level."""
-        self._set(min(level, self.level(now)), now)
-
     def _set(self, level: float, now: float) -> None:
         self._level = level
         self._at = max(now, self._at)
--- /dev/null
+++ b/src/hoisthook/teams/window_count.py
@@ -0,0 +1,57 @@
+"""How many tokens were given out within the last seconds."""
+
+from __future__ import annotations
+
+from collections import deque
+
+# Tokens given out within so short a time are kept as one entry, so that a window holds a bounded
+# number of them whatever its rate.
+ENTRY_SECONDS = 0.02
+
+
+class WindowCount:
+    """Counts in a window that slides.
+
+    Parameters
+    ----------
+    seconds : float
+        Its length.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._entries: deque[tuple[float, float]] = deque()
+        self._total = 0.0
+
+    def add(self, count: float, now: float) -> None:
+        """Count tokens that are given out."""
+        if self._entries and now - self._entries[-1][0] < ENTRY_SECONDS:
+            _, before = self._entries.pop()
+            # With the later moment, so that none leaves the window too early.
+            self._entries.append((now, before + count))
+        else:
+            self._entries.append((now, count))
+        self._total += count
+
+    def remove(self, count: float) -> None:
+        """Count out tokens that came back, which are those given out last."""
+        while count > 0 and self._entries:
+            at, held = self._entries.pop()
+            removed = min(held, count)
+            self._total -= removed
+            count -= removed
+            if held > removed:
+                self._entries.append((at, held - removed))
+
+    def total(self, now: float) -> float:
+        """Return the tokens given out within the window up to now."""
+        while self._entries and self._entries[0][0] <= now - self._seconds:
+            self._total -= self._entries.popleft()[1]
+        if not self._entries:
+            self._total = 0.0
+        return self._total
+
+    def seconds_to_less(self, now: float) -> float:
+        """Return the seconds until the oldest tokens leave the window."""
+        self.total(now)
+        return self._entries[0][0] + self._seconds - now if self._entries else 0.0
--- a/tests/mesh/test_team_quota.py
+++ b/tests/mesh/test_team_quota.py
@@ -29,6 +29,8 @@
     system.introduce_all()
     system.publish(1, RouteOptions("shop"), teams=[port, OTHER])
     await system.until_configured(1)
+    # Nodes that have just started do not know what was given out before.
+    await asyncio.sleep(1.5)
     return entries, server
 
 
