Tokens of requests that were not run go back with their age

Change: a token goes back with its age; the node that gave it out takes it out of the window at that moment, unless it was lent, or given out by a node before it.

--- a/src/hoisthook/teams/held_tokens.py
+++ b/src/hoisthook/teams/held_tokens.py
@@ -23,18 +23,20 @@
     ----------
     given_at : float
         When it was given out, at the earliest.
+    is_lent : bool
+        Whether another data centre has lent it; such a one is not taken back.
     """
 
     given_at: float
+    is_lent: bool = False
 
 
 class HeldTokens:
     """Tokens by team, each of use until its lease is over.
 
-    A busy node asks once for what it is likely to need within a lease. The token of a request that
-    was not run in the end goes back: where backend servers are full, callers come back, and what
-    was refused is no part of a quota. Whatever is older than a lease is lost rather than used or
-    given back: a window could hold it beside all that was given out within it.
+    A busy node asks once for what it is likely to need within a lease; what is older is lost. The
+    token of a request that was not run in the end goes back with its age: where backend servers
+    are full, callers come back, and what was refused is no part of a quota.
 
     Parameters
     ----------
@@ -45,7 +47,7 @@
     def __init__(self, lease: float) -> None:
         self._lease = lease
         self._held_by_team: dict[TeamName, deque[Token]] = {}
-        self._unused_by_team: dict[TeamName, deque[Token]] = {}
+        self._unused_by_team: dict[TeamName, list[Token]] = {}
         self._asked_by_team: dict[TeamName, deque[float]] = {}
 
     def take(self, team: TeamName, now: float) -> Token | None:
@@ -62,17 +64,14 @@
         if count > 0:
             self._held_by_team.setdefault(team, deque()).extend([token] * count)
 
-    def unused(self, team: TeamName, token: Token, now: float) -> bool:
-        """Note a token to give back; return whether it can be."""
-        if not self._holds(token, now):
-            return False
-        self._unused_by_team.setdefault(team, deque()).append(token)
-        return True
-
-    def take_unused(self, team: TeamName, now: float) -> int:
-        """Return how many tokens are given back now; they are no longer held here."""
-        tokens = self._unused_by_team.pop(team, ())
-        return sum(1 for token in tokens if self._holds(token, now))
+    def unused(self, team: TeamName, token: Token) -> None:
+        """Note a token to give back."""
+        if not token.is_lent:
+            self._unused_by_team.setdefault(team, []).append(token)
+
+    def take_unused(self, team: TeamName, now: float) -> list[float]:
+        """Return the ages of the tokens to give back now, which are no longer held here."""
+        return [now - token.given_at for token in self._unused_by_team.pop(team, [])]
 
     def wanted(self, team: TeamName, now: float) -> int:
         """Count a request; return how many tokens to ask for."""
--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -58,8 +58,8 @@
         As the asker knows it.
     wanted : float
         Tokens; none to find out whether a node answers.
-    unused : int
-        Tokens that the asker gives back.
+    unused : list of float
+        Ages in seconds of the tokens that the asker gives back.
     is_lending : bool
         Whether the asker gives out the quota itself and is short.
     """
@@ -67,7 +67,7 @@
     team: TeamName
     quota: Quota
     wanted: float
-    unused: int = 0
+    unused: list[float] = []
     is_lending: bool = False
 
 
@@ -82,11 +82,14 @@
         Seconds after which to come back where there are none.
     knows : bool
         Whether the node is in a place to tell.
+    is_lent : bool
+        Whether another data centre has lent some of them, so that they are not taken back.
     """
 
     tokens: float
     retry_after: float = 0.0
     knows: bool = True
+    is_lent: bool = False
 
 
 class QuotaTransport(Protocol):
@@ -190,13 +193,14 @@
             return OverQuota(ResultCode.TEAM_QUOTA_UNKNOWN, UNKNOWN_RETRY_SECONDS)
         if answer.tokens < 1:
             return OverQuota(ResultCode.TEAM_OVER_QUOTA, answer.retry_after)
-        token = Token(now)
+        token = Token(now, answer.is_lent)
         self._held.add(team, int(answer.tokens) - 1, token)
         return token
 
     def not_run(self, team: TeamName, quota: Quota, token: Token) -> None:
         """Give back the token of a request that was admitted and has not run."""
-        if self._held.unused(team, token, self._clock.now()) and team not in self._giving_back:
+        self._held.unused(team, token)
+        if team not in self._giving_back:
             self._giving_back.add(team)
             self._tasks.start(self._give_back(team, quota))
 
@@ -243,16 +247,17 @@
         now = self._clock.now()
         if not self._is_first(team):
             self._begin_standing_in(team, share, now)
-        self._ledger.put_back(team, share, question.unused, now)
+        if question.unused:
+            self._ledger.put_back(team, share, question.unused, now)
         if question.wanted <= 0:
             return QuotaAnswer(0.0)
-        tokens = self._ledger.take(team, share, question.wanted, now)
+        given = self._ledger.take(team, share, question.wanted, now)
         for _ in range(MAX_BORROWINGS):
-            if tokens or not await self._borrow(question, share):
+            if given.count or not await self._borrow(question, share):
                 break
-            tokens = self._ledger.take(team, share, question.wanted, self._clock.now())
-        if tokens:
-            return QuotaAnswer(float(tokens))
+            given = self._ledger.take(team, share, question.wanted, self._clock.now())
+        if given.count:
+            return QuotaAnswer(float(given.count), is_lent=given.is_lent)
         self._tell(team, question.quota)
         return QuotaAnswer(0.0, self._ledger.retry_after(team, share, self._clock.now()))
 
--- a/src/hoisthook/teams/quota_ledger.py
+++ b/src/hoisthook/teams/quota_ledger.py
@@ -10,6 +10,8 @@
 from hoisthook.teams.window_count import WindowCount
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from hoisthook.identity import TeamName
     from hoisthook.teams.quota_bounds import QuotaBounds
     from hoisthook.teams.team import Quota
@@ -37,12 +39,29 @@
     part: float
 
 
+@dataclass(frozen=True, slots=True)
+class Given:
+    """Tokens for requests.
+
+    Attributes
+    ----------
+    count : int
+        How many.
+    is_lent : bool
+        Whether any of them is counted in another data centre, so that none can be taken back here.
+    """
+
+    count: int
+    is_lent: bool = False
+
+
 @dataclass(slots=True)
 class _Account:
     """What a data centre may give out for a team, what it gave, and what others lent it."""
 
     bucket: TokenBucket
     given: WindowCount
+    begun: float
     # Tokens lent by others, each of use once; lost if they are not used soon.
     lent: float = 0.0
     lent_at: float = 0.0
@@ -79,8 +98,8 @@
     def __len__(self) -> int:
         return len(self._account_by_team)
 
-    def take(self, team: TeamName, share: Share, wanted: float, now: float) -> int:
-        """Give out whole tokens for requests; return how many."""
+    def take(self, team: TeamName, share: Share, wanted: float, now: float) -> Given:
+        """Give out whole tokens for requests."""
         account = self._account(team, share, now)
         room = self._room(account, share, now)
         lent = min(wanted, account.lent)
@@ -90,14 +109,19 @@
         account.lent -= lent
         account.bucket.take(whole - lent, now)
         account.given.add(whole - lent, now)
-        return int(whole)
+        return Given(int(whole), is_lent=lent > 0)
 
-    def put_back(self, team: TeamName, share: Share, tokens: int, now: float) -> None:
-        """Take back tokens that were not used."""
-        if tokens > 0:
-            account = self._account(team, share, now)
-            account.bucket.put_back(tokens, now)
-            account.given.remove(tokens)
+    def put_back(self, team: TeamName, share: Share, ages: Iterable[float], now: float) -> None:
+        """Take back tokens that were given out here and not used.
+
+        One that another node gave out before this one began is lost: it is not known whether it
+        stands in what that one is taken to have given out.
+        """
+        account = self._account(team, share, now)
+        for given_at in (now - age for age in ages):
+            if given_at >= account.begun:
+                account.bucket.put_back(1.0, now)
+                account.given.remove_one(given_at)
 
     def lend(self, team: TeamName, share: Share, wanted: float, now: float) -> float:
         """Give tokens, or parts of them, to another data centre; return how many."""
@@ -157,7 +181,8 @@
         rate = share.part * self._bounds.rate(share.quota)
         depth = share.part * self._bounds.depth(share.quota)
         bucket = TokenBucket(rate, depth, share.part * self._bounds.start(share.quota), since)
-        return _Account(bucket, WindowCount(self._bounds.window + self._bounds.lease_seconds))
+        given = WindowCount(self._bounds.window + self._bounds.lease_seconds)
+        return _Account(bucket, given, since)
 
     def _room(self, account: _Account, share: Share, now: float) -> float:
         left = self._capacity(share) - account.given.total(now)
--- a/src/hoisthook/teams/window_count.py
+++ b/src/hoisthook/teams/window_count.py
@@ -33,15 +33,18 @@
             self._entries.append((now, count))
         self._total += count
 
-    def remove(self, count: float) -> None:
-        """Count out tokens that came back, which are those given out last."""
-        while count > 0 and self._entries:
-            at, held = self._entries.pop()
-            removed = min(held, count)
-            self._total -= removed
-            count -= removed
-            if held > removed:
-                self._entries.append((at, held - removed))
+    def remove_one(self, given_at: float) -> None:
+        """Count out a token that came back.
+
+        Where its own moment is not known exactly, an earlier one goes in its place, which would
+        have left the window sooner.
+        """
+        for place in range(len(self._entries) - 1, -1, -1):
+            at, held = self._entries[place]
+            if at <= given_at and held >= 1.0:
+                self._entries[place] = (at, held - 1.0)
+                self._total -= 1.0
+                return
 
     def total(self, now: float) -> float:
         """Return the tokens given out within the window up to now."""
--- a/tests/teams/test_held_tokens.py
+++ b/tests/teams/test_held_tokens.py
@@ -15,13 +15,12 @@
     assert held.take(TEAM, 10.3) is None
 
 
-def test_a_token_goes_back_within_its_lease_only() -> None:
+def test_tokens_go_back_once_with_their_ages() -> None:
     held = HeldTokens(LEASE)
-    assert held.unused(TEAM, Token(10.0), 10.1)
-    assert held.unused(TEAM, Token(10.05), 10.1)
-    assert not held.unused(TEAM, Token(9.0), 10.1)
-    assert held.take_unused(TEAM, 10.27) == 1
-    assert held.take_unused(TEAM, 10.27) == 0
+    held.unused(TEAM, Token(10.0))
+    held.unused(TEAM, Token(9.0))
+    assert held.take_unused(TEAM, 10.5) == [0.5, 1.5]
+    assert held.take_unused(TEAM, 10.5) == []
 
 
 def test_a_busy_node_asks_for_what_it_needs_within_a_lease() -> None:
@@ -36,4 +35,3 @@
     held = HeldTokens(0.0)
     held.add(TEAM, 5, Token(1.0))
     assert held.take(TEAM, 1.0) is None
-    assert not held.unused(TEAM, Token(1.0), 1.0)
--- a/tests/teams/test_token_bucket.py
+++ b/tests/teams/test_token_bucket.py
@@ -12,25 +12,36 @@
 from hoisthook.teams.window_count import WindowCount
 
 TEAM = TeamName("port")
-STEPS = st.lists(st.tuples(st.floats(0, 3), st.integers(0, 60), st.booleans()), max_size=40)
+# A pause, how many tokens are asked for, and how long after it they come back, if they do.
+STEPS = st.lists(
+    st.tuples(st.floats(0, 3), st.integers(0, 60), st.none() | st.floats(0, 3)), max_size=40
+)
 
 
 @given(st.floats(0.5, 50), st.floats(1, 60), st.floats(0, 0.5), st.floats(0, 30), STEPS)
 def test_no_window_gets_more_than_is_allowed(
-    rate: float, burst: float, over: float, extra: float, steps: list[tuple[float, int, bool]]
+    rate: float,
+    burst: float,
+    over: float,
+    extra: float,
+    steps: list[tuple[float, int, float | None]],
 ) -> None:
     bounds = QuotaBounds(5.0, over, extra)
     share = Share(Quota(rate, burst), 1.0)
     ledger = QuotaLedger(bounds, 0.0)
     now = 1.0
     used: list[tuple[float, float]] = []
-    for pause, wanted, is_given_back in steps:
+    returning: list[tuple[float, float]] = []
+    for pause, wanted, delay in steps:
         now += pause
-        taken = ledger.take(TEAM, share, wanted, now)
-        if is_given_back:
-            ledger.put_back(TEAM, share, taken, now)
-        else:
+        back = [given_at for at, given_at in returning if at <= now]
+        ledger.put_back(TEAM, share, [now - given_at for given_at in back], now)
+        returning = [(at, given_at) for at, given_at in returning if at > now]
+        taken = ledger.take(TEAM, share, wanted, now).count
+        if delay is None:
             used.append((now, taken))
+        else:
+            returning += [(now + delay, now)] * taken
     for start, _ in used:
         within = sum(count for at, count in used if start <= at < start + 5.0)
         assert within <= bounds.allowed(share.quota) + 1e-6
@@ -44,10 +55,11 @@
     share = Share(Quota(rate, burst), 1.0)
     # One that has saved up gives out all it can, and is then replaced by one that knows nothing.
     before = QuotaLedger(bounds, -100.0)
-    given = sum(before.take(TEAM, share, 1000, n / 50) for n in range(int(50 * moment)))
+    given = sum(before.take(TEAM, share, 1000, n / 50).count for n in range(int(50 * moment)))
     after = QuotaLedger(bounds, moment)
     given += sum(
-        after.take(TEAM, share, 1000, moment + n / 50) for n in range(int(50 * (5.0 - moment)))
+        after.take(TEAM, share, 1000, moment + n / 50).count
+        for n in range(int(50 * (5.0 - moment)))
     )
     assert given <= bounds.allowed(share.quota) + 1e-6
 
@@ -56,14 +68,14 @@
     bounds = QuotaBounds(5.0, 0.1, 20.0)
     share = Share(Quota(95.0, 95.0), 1.0)
     ledger = QuotaLedger(bounds, -100.0)
-    given = sum(ledger.take(TEAM, share, 100, n / 10) for n in range(200))
+    given = sum(ledger.take(TEAM, share, 100, n / 10).count for n in range(200))
     assert given >= 3.9 * (95.0 * 5.0 + 95.0)
 
 
 def test_an_idle_team_gets_its_burst_at_once() -> None:
     bounds = QuotaBounds(5.0, 0.0, 0.0)
     ledger = QuotaLedger(bounds, -100.0)
-    assert ledger.take(TEAM, Share(Quota(10.0, 30.0), 1.0), 50, 0.0) == 30
+    assert ledger.take(TEAM, Share(Quota(10.0, 30.0), 1.0), 50, 0.0).count == 30
 
 
 def test_a_lower_depth_holds_at_once() -> None:
@@ -82,7 +94,9 @@
     given = WindowCount(5.0)
     given.add(3.0, 0.0)
     given.add(4.0, 1.0)
-    given.remove(5.0)
-    assert given.total(1.0) == 2.0
-    assert given.seconds_to_less(1.0) == 4.0
-    assert given.total(5.0) == 0.0
+    given.remove_one(1.0)
+    given.remove_one(0.5)
+    assert given.total(1.0) == 5.0
+    assert given.total(5.0) == 3.0
+    assert given.seconds_to_less(5.0) == 1.0
+    assert given.total(6.0) == 0.0
