A team over its quota keeps its tokens for what is urgent

Cause: tokens went to whoever came first, so a hot team's corrections were refused as often as its reads.

--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -38,8 +38,16 @@
 class QuotaGate(Protocol):
     """Admits teams' requests within their quotas."""
 
-    async def admit(self, team: Team) -> Token | OverQuota | None:
-        """Return what admits a request, or why it is not admitted; None where any is."""
+    async def admit(self, team: Team, rank: int) -> Token | OverQuota | None:
+        """Return what admits a request, or why it is not admitted; None where any is.
+
+        Parameters
+        ----------
+        team : Team
+            Who asks.
+        rank : int
+            Of the request among those of its team; 0 is the most urgent.
+        """
 
     def not_run(self, team: Team, token: Token) -> None:
         """Take in that a request that was admitted has not run."""
@@ -243,7 +251,7 @@
         """Refuse what goes beyond a quota before it costs a slot, a hop or a queue place."""
         if asked.team is None:
             return None
-        admitted = await self._quotas.admit(asked.team)
+        admitted = await self._quotas.admit(asked.team, asked.route.priority)
         if isinstance(admitted, OverQuota):
             return Refused(admitted.code, admitted.retry_after)
         asked.token = admitted
--- a/src/hoisthook/mesh/quota_exchange.py
+++ b/src/hoisthook/mesh/quota_exchange.py
@@ -81,12 +81,12 @@
         """Stop what is under way."""
         self.desk.close()
 
-    async def admit(self, team: Team) -> Token | OverQuota | None:
+    async def admit(self, team: Team, rank: int) -> Token | OverQuota | None:
         """Return what admits a request, or why it is not admitted; None where any is."""
         if team.quota is None:
             return None
         self.refresh()
-        return await self.desk.admit(team.name, team.quota)
+        return await self.desk.admit(team.name, team.quota, rank)
 
     def not_run(self, team: Team, token: Token) -> None:
         """Take in that a request that was admitted has not run."""
--- a/src/hoisthook/teams/held_tokens.py
+++ b/src/hoisthook/teams/held_tokens.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hoisthook.teams.quota_ledger import UnusedToken
+
 if TYPE_CHECKING:
     from hoisthook.identity import TeamName
 
@@ -23,11 +25,14 @@
     ----------
     given_at : float
         When it was given out, at the earliest.
+    rank : int
+        Of the request that it was asked for.
     is_lent : bool
         Whether another data centre has lent it; such a one is not taken back.
     """
 
     given_at: float
+    rank: int = 0
     is_lent: bool = False
 
 
@@ -69,9 +74,10 @@
         if not token.is_lent:
             self._unused_by_team.setdefault(team, []).append(token)
 
-    def take_unused(self, team: TeamName, now: float) -> list[float]:
-        """Return the ages of the tokens to give back now, which are no longer held here."""
-        return [now - token.given_at for token in self._unused_by_team.pop(team, [])]
+    def take_unused(self, team: TeamName, now: float) -> list[UnusedToken]:
+        """Return the tokens to give back now, which are no longer held here."""
+        tokens = self._unused_by_team.pop(team, [])
+        return [UnusedToken(now - token.given_at, token.rank) for token in tokens]
 
     def wanted(self, team: TeamName, now: float) -> int:
         """Count a request; return how many tokens to ask for."""
--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -19,6 +19,7 @@
 from hoisthook.teams.held_tokens import Token
 from hoisthook.teams.quota_ledger import QuotaLedger
 from hoisthook.teams.quota_ledger import Share
+from hoisthook.teams.quota_ledger import UnusedToken
 from hoisthook.teams.quota_owners import QuotaOwners
 from hoisthook.teams.team import Quota
 
@@ -58,17 +59,20 @@
         As the asker knows it.
     wanted : float
         Tokens; none to find out whether a node answers.
-    unused : list of float
-        Ages in seconds of the tokens that the asker gives back.
+    unused : list of UnusedToken
+        What the asker gives back.
     is_lending : bool
         Whether the asker gives out the quota itself and is short.
+    rank : int
+        Of the request among those of its team; 0 is the most urgent.
     """
 
     team: TeamName
     quota: Quota
     wanted: float
-    unused: list[float] = []
+    unused: list[UnusedToken] = []
     is_lending: bool = False
+    rank: int = 0
 
 
 class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -156,8 +160,9 @@
         self._away = AwayNodes()
         self._tasks = BackgroundTasks()
         self._giving_back: set[TeamName] = set()
-        self._borrowing: dict[TeamName, asyncio.Task[None]] = {}
-        self._dry_until: dict[TeamName, float] = {}
+        # By team and rank: others may lend for the urgent what they keep from the rest.
+        self._borrowing: dict[tuple[TeamName, int], asyncio.Task[None]] = {}
+        self._dry_until: dict[tuple[TeamName, int], float] = {}
         self._stood_in_at: dict[TeamName, float] = {}
         self._told_at: dict[TeamName, float] = {}
         self._heard_at = clock.now()
@@ -180,7 +185,7 @@
         for task in self._borrowing.values():
             task.cancel()
 
-    async def admit(self, team: TeamName, quota: Quota) -> Token | OverQuota:
+    async def admit(self, team: TeamName, quota: Quota, rank: int = 0) -> Token | OverQuota:
         """Return what admits a request, or why it is not admitted."""
         now = self._clock.now()
         wanted = self._held.wanted(team, now)
@@ -188,12 +193,12 @@
         if token is not None:
             return token
         unused = self._held.take_unused(team, now)
-        answer = await self._ask_first(QuotaQuestion(team, quota, wanted, unused))
+        answer = await self._ask_first(QuotaQuestion(team, quota, wanted, unused, rank=rank))
         if answer is None:
             return OverQuota(ResultCode.TEAM_QUOTA_UNKNOWN, UNKNOWN_RETRY_SECONDS)
         if answer.tokens < 1:
             return OverQuota(ResultCode.TEAM_OVER_QUOTA, answer.retry_after)
-        token = Token(now, answer.is_lent)
+        token = Token(now, rank, answer.is_lent)
         self._held.add(team, int(answer.tokens) - 1, token)
         return token
 
@@ -219,7 +224,9 @@
             if not self._is_giving_out(question.team):
                 return QuotaAnswer(0.0)
             share = self._share(question)
-            tokens = self._ledger.lend(question.team, share, question.wanted, self._clock.now())
+            tokens = self._ledger.lend(
+                question.team, share, question.wanted, self._clock.now(), rank=question.rank
+            )
             return QuotaAnswer(tokens)
         return await self._give_out(question)
 
@@ -251,11 +258,13 @@
             self._ledger.put_back(team, share, question.unused, now)
         if question.wanted <= 0:
             return QuotaAnswer(0.0)
-        given = self._ledger.take(team, share, question.wanted, now)
+        self._ledger.asked(team, share, now, rank=question.rank)
+        given = self._ledger.take(team, share, question.wanted, now, rank=question.rank)
         for _ in range(MAX_BORROWINGS):
             if given.count or not await self._borrow(question, share):
                 break
-            given = self._ledger.take(team, share, question.wanted, self._clock.now())
+            now = self._clock.now()
+            given = self._ledger.take(team, share, question.wanted, now, rank=question.rank)
         if given.count:
             return QuotaAnswer(float(given.count), is_lent=given.is_lent)
         self._tell(team, question.quota)
@@ -266,20 +275,22 @@
 
         Those that are short together wait for one and the same answer.
         """
-        team = question.team
-        if self._dry_until.get(team, -math.inf) > self._clock.now():
+        key = (question.team, question.rank)
+        if self._dry_until.get(key, -math.inf) > self._clock.now():
             return False
-        task = self._borrowing.get(team)
+        task = self._borrowing.get(key)
         if task is None:
             task = asyncio.get_running_loop().create_task(self._borrow_from_others(question, share))
-            self._borrowing[team] = task
-            task.add_done_callback(lambda _: self._borrowing.pop(team, None))
+            self._borrowing[key] = task
+            task.add_done_callback(lambda _: self._borrowing.pop(key, None))
         await asyncio.shield(task)
         return True
 
     async def _borrow_from_others(self, question: QuotaQuestion, share: Share) -> None:
         missing = max(1.0, BORROWED_SECONDS * self._bounds.rate(question.quota))
-        asked = QuotaQuestion(question.team, question.quota, missing, is_lending=True)
+        asked = QuotaQuestion(
+            question.team, question.quota, missing, is_lending=True, rank=question.rank
+        )
         got = 0.0
         for seat in self._lenders(question.team):
             answer = await self._ask(seat, asked)
@@ -289,7 +300,7 @@
             got += answer.tokens
             if got >= 1:
                 return
-        self._dry_until[question.team] = self._clock.now() + DRY_SECONDS
+        self._dry_until[question.team, question.rank] = self._clock.now() + DRY_SECONDS
 
     def _before_me(self, team: TeamName) -> list[Seat]:
         """Return who can be reached and goes before this node in its data centre."""
--- a/src/hoisthook/teams/quota_ledger.py
+++ b/src/hoisthook/teams/quota_ledger.py
@@ -5,9 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from hoisthook.teams.ranked_window import MAX_KEPT_SHARE
+from hoisthook.teams.ranked_window import RankedWindow
 from hoisthook.teams.token_bucket import ROUNDING
 from hoisthook.teams.token_bucket import TokenBucket
-from hoisthook.teams.window_count import WindowCount
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -21,6 +24,8 @@
 # Nobody is told to come back later than this: a quota may be raised, and others lend.
 MAX_RETRY_SECONDS = 2.0
 MIN_RETRY_SECONDS = 0.02
+# Of the tokens that have accrued, the more urgent find those that they ask for within this time.
+KEPT_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +44,21 @@
     part: float
 
 
+class UnusedToken(msgspec.Struct, frozen=True, array_like=True):
+    """A token of a request that has not run.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since it was given out, at most.
+    rank : int
+        Of the request.
+    """
+
+    age: float
+    rank: int
+
+
 @dataclass(frozen=True, slots=True)
 class Given:
     """Tokens for requests.
@@ -60,7 +80,7 @@
     """What a data centre may give out for a team, what it gave, and what others lent it."""
 
     bucket: TokenBucket
-    given: WindowCount
+    given: RankedWindow
     begun: float
     # Tokens lent by others, each of use once; lost if they are not used soon.
     lent: float = 0.0
@@ -98,37 +118,48 @@
     def __len__(self) -> int:
         return len(self._account_by_team)
 
-    def take(self, team: TeamName, share: Share, wanted: float, now: float) -> Given:
-        """Give out whole tokens for requests."""
+    def take(
+        self, team: TeamName, share: Share, wanted: float, now: float, *, rank: int = 0
+    ) -> Given:
+        """Give out whole tokens for requests of a rank, as far as they are not kept for others."""
         account = self._account(team, share, now)
-        room = self._room(account, share, now)
+        room = self._room(account, share, rank, now)
         lent = min(wanted, account.lent)
         own = min(wanted - lent, max(0.0, room))
         whole = float(int(lent + own + ROUNDING))
         lent = min(lent, whole)
         account.lent -= lent
         account.bucket.take(whole - lent, now)
-        account.given.add(whole - lent, now)
+        account.given.give(whole - lent, rank, now)
         return Given(int(whole), is_lent=lent > 0)
 
-    def put_back(self, team: TeamName, share: Share, ages: Iterable[float], now: float) -> None:
+    def asked(self, team: TeamName, share: Share, now: float, *, rank: int) -> None:
+        """Note a request of a rank, whatever becomes of it."""
+        self._account(team, share, now).given.asked(rank, now)
+
+    def put_back(
+        self, team: TeamName, share: Share, unused: Iterable[UnusedToken], now: float
+    ) -> None:
         """Take back tokens that were given out here and not used.
 
         One that another node gave out before this one began is lost: it is not known whether it
         stands in what that one is taken to have given out.
         """
         account = self._account(team, share, now)
-        for given_at in (now - age for age in ages):
+        for token in unused:
+            given_at = now - token.age
             if given_at >= account.begun:
                 account.bucket.put_back(1.0, now)
-                account.given.remove_one(given_at)
+                account.given.take_back(token.rank, given_at)
 
-    def lend(self, team: TeamName, share: Share, wanted: float, now: float) -> float:
+    def lend(
+        self, team: TeamName, share: Share, wanted: float, now: float, *, rank: int = 0
+    ) -> float:
         """Give tokens, or parts of them, to another data centre; return how many."""
         account = self._account(team, share, now)
-        lent = min(wanted, LENT_SHARE * max(0.0, self._room(account, share, now)))
+        lent = min(wanted, LENT_SHARE * max(0.0, self._room(account, share, rank, now)))
         account.bucket.take(lent, now)
-        account.given.add(lent, now)
+        account.given.give(lent, rank, now)
         return lent
 
     def borrowed(self, team: TeamName, share: Share, tokens: float, now: float) -> None:
@@ -145,8 +176,8 @@
         """
         account = self._account(team, share, now)
         wait = account.bucket.seconds_to(1.0, now)
-        if account.given.total(now) + 1.0 > self._capacity(share):
-            wait = max(wait, account.given.seconds_to_less(now))
+        if account.given.room(0, self._capacity(share), now) < 1.0:
+            wait = max(wait, account.given.seconds_to_room(now))
         rate = account.bucket.rate or self._bounds.rate(share.quota)
         first = now + min(wait, MAX_RETRY_SECONDS)
         moment = max(first, self._promised_until.get(team, first))
@@ -181,12 +212,14 @@
         rate = share.part * self._bounds.rate(share.quota)
         depth = share.part * self._bounds.depth(share.quota)
         bucket = TokenBucket(rate, depth, share.part * self._bounds.start(share.quota), since)
-        given = WindowCount(self._bounds.window + self._bounds.lease_seconds)
+        given = RankedWindow(self._bounds.window + self._bounds.lease_seconds)
         return _Account(bucket, given, since)
 
-    def _room(self, account: _Account, share: Share, now: float) -> float:
-        left = self._capacity(share) - account.given.total(now)
-        return min(account.bucket.level(now), left)
+    def _room(self, account: _Account, share: Share, rank: int, now: float) -> float:
+        left = account.given.room(rank, self._capacity(share), now)
+        saved = account.bucket.level(now)
+        kept = KEPT_SECONDS * account.given.urgent_per_second(rank, now)
+        return min(left, saved - min(kept, MAX_KEPT_SHARE * max(0.0, saved)))
 
     def _capacity(self, share: Share) -> float:
         return share.part * self._bounds.capacity(share.quota)
--- a/standin/quota_fleet.py
+++ b/standin/quota_fleet.py
@@ -113,6 +113,8 @@
         self.by_node: dict[NodeId, Node] = {}
         self.admitted: dict[TeamName, list[float]] = defaultdict(list)
         self.asked: dict[TeamName, int] = defaultdict(int)
+        self.asked_by_rank: dict[int, int] = defaultdict(int)
+        self.admitted_by_rank: dict[int, int] = defaultdict(int)
         self.over: dict[TeamName, int] = defaultdict(int)
         self.unknown: dict[TeamName, int] = defaultdict(int)
         self.not_run_share = 0.0
@@ -152,7 +154,13 @@
                     node.desk.heard()
 
     async def press(
-        self, team: Team, per_second: float, seconds: float, nodes: Collection[Node] | None = None
+        self,
+        team: Team,
+        per_second: float,
+        seconds: float,
+        nodes: Collection[Node] | None = None,
+        *,
+        rank: int = 0,
     ) -> None:
         """Send requests at random moments to random nodes."""
         at = list(self.nodes if nodes is None else nodes)
@@ -161,16 +169,17 @@
             await asyncio.sleep(self.random.expovariate(per_second))
             node = self.random.choice(at)
             if node.alive:
-                self._serving.append(asyncio.create_task(self._one(node, team)))
+                self._serving.append(asyncio.create_task(self._one(node, team, rank)))
 
     async def settle(self) -> None:
         """Wait for the requests under way."""
         await asyncio.gather(*self._serving)
 
-    async def _one(self, node: Node, team: Team) -> None:
+    async def _one(self, node: Node, team: Team, rank: int) -> None:
         self.asked[team.name] += 1
+        self.asked_by_rank[rank] += 1
         assert team.quota is not None
-        refused = await node.desk.admit(team.name, team.quota)
+        refused = await node.desk.admit(team.name, team.quota, rank)
         if isinstance(refused, Token):
             if self.random.random() < self.not_run_share:
                 # Refused by backend servers that are full, after a while.
@@ -178,11 +187,17 @@
                 node.desk.not_run(team.name, team.quota, refused)
                 return
             self.admitted[team.name].append(asyncio.get_running_loop().time())
+            self.admitted_by_rank[rank] += 1
         elif refused.code.value.http_status == 429:
             self.over[team.name] += 1
         else:
             self.unknown[team.name] += 1
 
+    def close(self) -> None:
+        """Stop what is under way at all nodes."""
+        for node in self.nodes:
+            node.desk.close()
+
     def most_in_window(self, team: Team) -> int:
         """Return the most requests of a team that ran in any window."""
         times = sorted(self.admitted[team.name])
@@ -210,6 +225,7 @@
         await story(fleet)
         await fleet.settle()
         contact.cancel()
+        fleet.close()
 
     run_virtually(main())
     return told[0]
--- a/tests/teams/test_held_tokens.py
+++ b/tests/teams/test_held_tokens.py
@@ -3,6 +3,7 @@
 from hoisthook.identity import TeamName
 from hoisthook.teams.held_tokens import HeldTokens
 from hoisthook.teams.held_tokens import Token
+from hoisthook.teams.quota_ledger import UnusedToken
 
 TEAM = TeamName("port")
 LEASE = 0.25
@@ -18,8 +19,9 @@
 def test_tokens_go_back_once_with_their_ages() -> None:
     held = HeldTokens(LEASE)
     held.unused(TEAM, Token(10.0))
-    held.unused(TEAM, Token(9.0))
-    assert held.take_unused(TEAM, 10.5) == [0.5, 1.5]
+    held.unused(TEAM, Token(9.0, rank=1))
+    held.unused(TEAM, Token(10.0, is_lent=True))
+    assert held.take_unused(TEAM, 10.5) == [UnusedToken(0.5, 0), UnusedToken(1.5, 1)]
     assert held.take_unused(TEAM, 10.5) == []
 
 
--- a/tests/teams/test_quota_fleet.py
+++ b/tests/teams/test_quota_fleet.py
@@ -192,6 +192,20 @@
     assert fleet.over[LARGE.name] <= 0.3 * fleet.asked[LARGE.name]
 
 
+@pytest.mark.parametrize("seed", FEW_SEEDS)
+def test_a_team_over_its_quota_keeps_its_tokens_for_what_is_urgent(seed: int) -> None:
+    async def story(fleet: Fleet) -> None:
+        await asyncio.gather(
+            fleet.press(LARGE, 60.0, 10.0, rank=0), fleet.press(LARGE, 240.0, 10.0, rank=1)
+        )
+
+    fleet = play(SITE, seed, story)
+    assert_within(fleet)
+    assert fleet.admitted_by_rank[0] >= 0.95 * fleet.asked_by_rank[0]
+    # And what is left goes to the others.
+    assert len(fleet.admitted[LARGE.name]) >= 0.9 * 10.0 * 95.0
+
+
 def test_those_refused_together_are_told_different_times() -> None:
     async def story(fleet: Fleet) -> None:
         await fleet.press(MIDDLE, 200.0, 2.0)
--- a/tests/teams/test_token_bucket.py
+++ b/tests/teams/test_token_bucket.py
@@ -7,6 +7,7 @@
 from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.teams.quota_ledger import QuotaLedger
 from hoisthook.teams.quota_ledger import Share
+from hoisthook.teams.quota_ledger import UnusedToken
 from hoisthook.teams.team import Quota
 from hoisthook.teams.token_bucket import TokenBucket
 from hoisthook.teams.window_count import WindowCount
@@ -35,7 +36,7 @@
     for pause, wanted, delay in steps:
         now += pause
         back = [given_at for at, given_at in returning if at <= now]
-        ledger.put_back(TEAM, share, [now - given_at for given_at in back], now)
+        ledger.put_back(TEAM, share, [UnusedToken(now - given_at, 0) for given_at in back], now)
         returning = [(at, given_at) for at, given_at in returning if at > now]
         taken = ledger.take(TEAM, share, wanted, now).count
         if delay is None:
