Large answers go out in pieces; a node that leaves hears out a silent one

The link carries 12 Mbit/s and answers of up to 540 kB were handed to it whole: 360 ms for one. Bodies are still held whole at both nodes; streaming them is not done.

--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from hoisthook.adapter.http.message import CONTINUE
 from hoisthook.adapter.http.message import LAST_CHUNK
@@ -18,6 +19,23 @@
     from hoisthook.adapter.http.server_connection import ServerConnection
 
 
+class Pace(Protocol):
+    """Tells when pieces of an answer may go out."""
+
+    @property
+    def piece_bytes(self) -> int:
+        """Return the size of a piece."""
+
+    def spreads(self, size: int) -> bool:
+        """Return whether an answer of some size goes out in pieces."""
+
+    def sent(self, size: int, now: float) -> None:
+        """Note an answer that went out at once."""
+
+    def wait(self, size: int, now: float) -> float:
+        """Take the next place for a piece; return the seconds until it may go out."""
+
+
 class ServerExchange:
     """What a handler reads a request from and writes its answer to.
 
@@ -107,6 +125,27 @@
         self._connection.write(head + body)
         self.end()
 
+    async def respond_paced(
+        self, status: int, headers: list[Header], body: bytes, pace: Pace
+    ) -> None:
+        """Send a whole answer, in pieces where the pace of the link asks for it."""
+        now = asyncio.get_running_loop().time()
+        if not pace.spreads(len(body)):
+            pace.sent(len(body), now)
+            self.respond(status, headers, body)
+            return
+        headers.append((b"content-length", b"%d" % len(body)))
+        self.write(b"", head=self.begin(status, headers, chunked=False))
+        if self.head.method != b"HEAD":
+            for start in range(0, len(body), pace.piece_bytes):
+                piece = body[start : start + pace.piece_bytes]
+                seconds = pace.wait(len(piece), asyncio.get_running_loop().time())
+                if seconds > 0:
+                    await asyncio.sleep(seconds)
+                self.write(piece)
+                await self.drain()
+        self.end()
+
     def write(self, data: bytes, *, head: bytes = b"") -> None:
         """Send a piece of the body, preceded by the answer's head if given."""
         if self._chunked and data:
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -58,7 +58,7 @@
         self._admitted = False
 
     async def run(
-        self, *, target_left: float, timeout: float
+        self, *, target_left: float, timeout: float, min_silence: float = 0.0
     ) -> tuple[AnswerHead, bytes] | Refused | Lost:
         """Return the answer, or what is known of a request without one.
 
@@ -68,9 +68,11 @@
             Seconds until its target latency is over.
         timeout : float
             Seconds until the answer is of no use.
+        min_silence : float
+            Seconds for which the other node may be silent in any case.
         """
         silence = max(MIN_ADMISSION_SECONDS, ADMISSION_SHARE_OF_TARGET * target_left)
-        silence = min(ADMISSION_SECONDS, silence)
+        silence = max(min_silence, min(ADMISSION_SECONDS, silence))
         try:
             async with asyncio.timeout(timeout):
                 return await self._exchange(silence)
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -28,6 +28,7 @@
     from hoisthook.port.caller_wire import CallerWire
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
+    from hoisthook.routing.link_pace import LinkPace
     from hoisthook.teams.held_tokens import Token
     from hoisthook.teams.team import Team
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
@@ -96,6 +97,8 @@
         What runs at the backend server beside, whose calls come here.
     quotas : QuotaGate
         Whose requests go beyond what their team may ask.
+    pace : LinkPace
+        When large answers go out.
     clock : Clock
         Monotonic, the loop's own.
     log : EventLog
@@ -110,6 +113,7 @@
         dispatcher: RoutedDispatcher,
         beside: RunningRequests,
         quotas: QuotaGate,
+        pace: LinkPace,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -119,6 +123,7 @@
         self._dispatcher = dispatcher
         self._beside = beside
         self._quotas = quotas
+        self._pace = pace
         self._clock = clock
         self._log = log
         self._parts = PartChoice()
@@ -192,6 +197,9 @@
             return
         if isinstance(done.outcome, Refused):
             self._not_run(asked)
+        if isinstance(done.outcome, WholeAnswer):
+            answer = done.outcome
+            await exchange.respond_paced(answer.status, answer.headers, answer.body, self._pace)
         self._conclude(
             exchange,
             request,
@@ -280,7 +288,7 @@
     ) -> None:
         code = ResultCode.OK
         if isinstance(outcome, WholeAnswer):
-            exchange.respond(outcome.status, outcome.headers, outcome.body)
+            # It has been delivered.
             fields["status"] = outcome.status
         else:
             code = outcome.code
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -16,7 +16,6 @@
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
-    from hoisthook.adapter.http.message import Header
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import ServiceName
     from hoisthook.mesh.backend_link import BackendLink
@@ -24,6 +23,7 @@
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
+    from hoisthook.routing.link_pace import LinkPace
 
 _FRAMING = frozenset({b"content-length"})
 NO_RETRY_AFTER = 0.0
@@ -42,6 +42,8 @@
         Runs them.
     sync : PeerSync
         Told of the configuration that the sender has.
+    pace : LinkPace
+        When large answers go out.
     clock : Clock
         Monotonic, the loop's own.
     log : EventLog
@@ -53,12 +55,14 @@
         service: ServiceName,
         beside: BackendLink,
         sync: PeerSync,
+        pace: LinkPace,
         clock: Clock,
         log: EventLog,
     ) -> None:
         self._service = service
         self._beside = beside
         self._sync = sync
+        self._pace = pace
         self._clock = clock
         self._log = log
 
@@ -75,11 +79,11 @@
         received = self._clock.now()
         header = HopHeader.decode(exchange.head.get(hop_header.HOP) or b"")
         if header is None:
-            self._answer(exchange, Refused(ResultCode.REQUEST_MALFORMED, NO_RETRY_AFTER))
+            await self._answer(exchange, Refused(ResultCode.REQUEST_MALFORMED, NO_RETRY_AFTER))
             return
         self._sync.heard((exchange.peer[0], self._sync.peer_port), header.configuration)
         if header.service != self._service:
-            self._answer(exchange, Refused(ResultCode.SERVICE_ELSEWHERE, NO_RETRY_AFTER))
+            await self._answer(exchange, Refused(ResultCode.SERVICE_ELSEWHERE, NO_RETRY_AFTER))
             return
         call = _call(exchange, header, received)
         held_back = exchange.head.get(b"transfer-encoding") is not None
@@ -97,15 +101,16 @@
             exchange.processing(hop_header.wait_headers(seconds))
 
         outcome = await self._beside.run(call, header.admission, admitted=admitted, waiting=waiting)
-        self._answer(exchange, outcome)
+        await self._answer(exchange, outcome)
 
-    def _answer(self, exchange: ServerExchange, outcome: Outcome) -> None:
+    async def _answer(self, exchange: ServerExchange, outcome: Outcome) -> None:
         told = dataclasses.replace(self._beside.load(), configuration=self._sync.version)
         load = (hop_header.LOAD, told.encode())
         if isinstance(outcome, WholeAnswer):
-            exchange.respond(outcome.status, [*outcome.headers, load], outcome.body)
+            headers = [*outcome.headers, load]
+            await exchange.respond_paced(outcome.status, headers, outcome.body, self._pace)
             return
-        headers: list[Header] = [load, (hop_header.RESULT, b"%d" % outcome.code.number)]
+        headers = [load, (hop_header.RESULT, b"%d" % outcome.code.number)]
         if isinstance(outcome, Refused):
             millis = int(outcome.retry_after * hop_header.MILLIS)
             headers.append((hop_header.RETRY_AFTER_MS, b"%d" % millis))
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -36,6 +36,7 @@
 from hoisthook.mesh.routed_dispatcher import RetrySettings
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
 from hoisthook.mesh.store_readers import StoreReaders
+from hoisthook.routing.link_pace import LinkPace
 from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.traffic.configuration_exchange import ConfigurationExchange
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
@@ -191,8 +192,9 @@
             log=log,
         )
         self._hop = PeerHop(self._peer_pool, self.link, self.directory, self.sync, clock, log)
+        self._pace = LinkPace(settings.node.link_mbps)
         self._entry = self._make_entry(service, caller_wire)
-        self._hop_server = HopServer(service, self.link, self.sync, clock, log)
+        self._hop_server = HopServer(service, self.link, self.sync, self._pace, clock, log)
         self._callers = CallServer(parse_address(settings.listen.callers), self._entry.handle)
         self._peers = CallServer(
             parse_address(settings.listen.peers), self._serve_peer, continues_at_once=False
@@ -257,6 +259,7 @@
         self._log.event("stopping")
         self.stopping = True
         self._callers.stopping = True
+        self._hop.leaving = True
         self.link.leaving = True
         await asyncio.sleep(LEAVING_SECONDS)
         self.link.stopping = True
@@ -333,6 +336,7 @@
             dispatcher,
             self.link.running,
             self._quotas,
+            self._pace,
             self._clock,
             self._log,
         )
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -36,6 +36,9 @@
 # Instances are a few milliseconds apart; one that takes longer is down or cut off.
 CONNECT_SECONDS = 0.1
 DEFAULT_RETRY_SECONDS = 0.05
+# A node that leaves has no later moment at which to make good a request that it gave up: one that
+# was sent whole may run at the silent node, and its caller would see the shutdown cut it.
+LEAVING_SILENCE_SECONDS = 1.0
 _CLOSING_CODES = frozenset(
     {
         ResultCode.BACKEND_SERVER_DRAINING,
@@ -63,6 +66,11 @@
         Monotonic, the loop's own.
     log : EventLog
         Gets a line for each node that cannot be reached.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether this node is about to stop.
     """
 
     def __init__(
@@ -81,6 +89,7 @@
         self._clock = clock
         self._log = log
         self._probes = BackgroundTasks()
+        self.leaving = False
 
     def close(self) -> None:
         """Stop the probes that are under way."""
@@ -140,7 +149,10 @@
             team=call.team,
         )
         exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
-        answered = await exchange.run(target_left=header.target_left, timeout=header.time_left)
+        silence = LEAVING_SILENCE_SECONDS if self.leaving and not call.held_back else 0.0
+        answered = await exchange.run(
+            target_left=header.target_left, timeout=header.time_left, min_silence=silence
+        )
         if isinstance(answered, Lost | Refused):
             self._note_lost(view, call, answered)
             return answered
