Where keys must be gone in time, a node that cannot know stops taking them

Cause: a node cut off from the store and from all that read it went on taking keys that were taken away. Change: a lease on what the configuration in force was last known to be the newest, renewed by reads of the store and by peers' answers with their age, on the clock that counts suspensions; without it keys are refused (2027, 503, not run), public routes served. Waits for changes are shorter there. Off unless the settings ask. Tests: store away for all, renewal along the tree of askers, off by default.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -21,6 +21,7 @@
     from hoisthook.port.event_log import EventLog
     from hoisthook.port.record_store import RecordPage
     from hoisthook.port.record_store import RecordStore
+    from hoisthook.teams.key_lease import KeyLease
     from hoisthook.traffic.configuration_exchange import ConfigurationDecoder
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
@@ -77,6 +78,8 @@
         Keys that begin so and go on with a data centre ask for its evacuation; empty for none.
     era : StoreEra
         Told of the store's, and tells when it came back older.
+    lease : KeyLease
+        Told when the configuration was known to be the newest.
     sync : PeerSync
         Told whether the store answers; asks peers.
     readers : StoreReaders
@@ -102,6 +105,7 @@
         evacuations: Evacuations,
         evacuation_prefix: str,
         era: StoreEra,
+        lease: KeyLease,
         sync: PeerSync,
         readers: StoreReaders,
         listed: asyncio.Event,
@@ -119,6 +123,7 @@
         self._evacuated = EvacuationReading(evacuation_prefix)
         self._is_doubted = False
         self._era = era
+        self._lease = lease
         era.on_change(self._came_back_older)
         self._sync = sync
         self._readers = readers
@@ -142,6 +147,7 @@
                 # In turn, so that what is told twice has been told to both.
                 self._asked += 1
                 hold = FOLLOW_SECONDS * (0.75 + 0.5 * self._randomness.random())
+                hold = min(hold, self._lease.longest_hold)
                 answered = await self._ask(readers[self._asked % len(readers)], hold)
                 self._unanswered = 0 if answered else self._unanswered + 1
                 if answered:
@@ -204,6 +210,7 @@
             self._is_doubted = False
             self._offset = None
         offset = self._offset
+        begun = self._clock.now()
         if offset is None:
             page = await self._store.newest(self._topic)
             self._check_era(page)
@@ -223,7 +230,15 @@
                 return False
             self._evacuated.take_changes(page.records)
         self._offset = page.end
-        return self._take(page)
+        has_records = self._take(page)
+        if not self._is_unread(page):
+            self._lease.confirmed(begun)
+        return has_records
+
+    def _is_unread(self, page: RecordPage) -> bool:
+        """Return whether a page holds a configuration that is not in force, being unreadable."""
+        published = [record for record in page.records if record.key == self._key and record.value]
+        return bool(published) and self._decode(published[-1].value) is None
 
     def _check_era(self, page: RecordPage) -> None:
         """Pass over an answer of a history that the store has left, as peers have told."""
@@ -244,7 +259,9 @@
             return 0.0
         if self._is_doubted:
             return MIN_WAIT_SECONDS
-        return MIN_WAIT_SECONDS + self._randomness.random() * (MAX_WAIT_SECONDS - MIN_WAIT_SECONDS)
+        spread = MAX_WAIT_SECONDS - MIN_WAIT_SECONDS
+        wait = MIN_WAIT_SECONDS + self._randomness.random() * spread
+        return min(wait, self._lease.longest_wait)
 
     def _take(self, page: RecordPage) -> bool:
         # First, so that no other node gets a configuration from here without them.
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -30,6 +30,7 @@
     from hoisthook.port.event_log import EventLog
     from hoisthook.routing.link_pace import LinkPace
     from hoisthook.teams.held_tokens import Token
+    from hoisthook.teams.key_lease import KeyLease
     from hoisthook.teams.team import Team
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.route import Route
@@ -95,6 +96,8 @@
         Runs requests.
     beside : RunningRequests
         What runs at the backend server beside, whose calls come here.
+    lease : KeyLease
+        Whether keys may be taken.
     quotas : QuotaGate
         Whose requests go beyond what their team may ask.
     pace : LinkPace
@@ -112,6 +115,7 @@
         configuration: ConfigurationHolder,
         dispatcher: RoutedDispatcher,
         beside: RunningRequests,
+        lease: KeyLease,
         quotas: QuotaGate,
         pace: LinkPace,
         clock: Clock,
@@ -122,6 +126,7 @@
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._beside = beside
+        self._lease = lease
         self._quotas = quotas
         self._pace = pace
         self._clock = clock
@@ -153,6 +158,10 @@
         if teams and team is None and not route.public:
             self._turn_away(exchange, request, route, received)
             return
+        if team is not None and not self._lease.holds(self._clock.now()):
+            refused = Refused(ResultCode.TEAM_KEYS_UNCONFIRMED, NO_CONFIGURATION_RETRY_SECONDS)
+            self._conclude(exchange, request, refused, received, route=route.name, team=team.name)
+            return
         if not teams:
             request.headers += request.credentials
         asked = _Asked(request, route, configuration, team, received)
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -37,6 +37,7 @@
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
 from hoisthook.mesh.store_readers import StoreReaders
 from hoisthook.routing.link_pace import LinkPace
+from hoisthook.teams.key_lease import KeyLease
 from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.traffic.configuration_exchange import ConfigurationExchange
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
@@ -135,6 +136,7 @@
         )
         self.directory = PeerDirectory(self._me(service), log)
         self.era = StoreEra(log)
+        self.key_lease = KeyLease(settings.keys.revocation_seconds)
         self.sync = PeerSync(
             self.directory,
             self.configuration,
@@ -142,6 +144,7 @@
             ConfigurationExchange(self.configuration, decode, log),
             self.crashes.evidence,
             self.era,
+            self.key_lease,
             self._peer_pool,
             clock,
             self._randomness,
@@ -184,6 +187,7 @@
             evacuations=self.evacuations,
             evacuation_prefix=settings.store.evacuation_prefix,
             era=self.era,
+            lease=self.key_lease,
             sync=self.sync,
             readers=readers,
             listed=self.directory.listed,
@@ -335,6 +339,7 @@
             self.configuration,
             dispatcher,
             self.link.running,
+            self.key_lease,
             self._quotas,
             self._pace,
             self._clock,
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -38,6 +38,7 @@
     from hoisthook.port.event_log import EventLog
     from hoisthook.retry.crash_evidence import CrashEvidence
     from hoisthook.retry.crash_evidence import CrashReport
+    from hoisthook.teams.key_lease import KeyLease
     from hoisthook.traffic.configuration_exchange import ConfigurationExchange
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
@@ -85,6 +86,8 @@
         Which work has ended backend servers.
     era : StoreEra
         The store's; told on.
+    lease : KeyLease
+        Renewed by what peers confirm.
     pool : ClientPool
         Connections to other nodes.
     clock : Clock
@@ -103,6 +106,7 @@
         exchange: ConfigurationExchange,
         crashes: CrashEvidence,
         era: StoreEra,
+        lease: KeyLease,
         pool: ClientPool,
         clock: Clock,
         randomness: Randomness,
@@ -114,6 +118,7 @@
         self._exchange = exchange
         self._crashes = crashes
         self._era = era
+        self._lease = lease
         self._tells_crashes = False
         self._pool = pool
         self._randomness = randomness
@@ -222,6 +227,7 @@
         return await self._send(address, told) is not None
 
     async def _send(self, address: Address, question: SyncQuestion) -> SyncReply | None:
+        asked_at = self._clock.now()
         try:
             connection = await self._pool.acquire(address, CONNECT_SECONDS)
         except UnreachableError as error:
@@ -244,6 +250,7 @@
         if reply is not None:
             self._contacted(address)
             await self._take(reply, address, question)
+            self._confirm(reply, asked_at)
         if reply is not None and question.wants_news:
             had = _Had(reply.source, reply.revision, reply.suspicions)
             self._had_by_address[address] = had
@@ -314,6 +321,7 @@
             cleared,
             *self._evacuations_for(question),
             *self._crashes_for(question),
+            confirmed=self._lease.age(self._clock.now()),
             era=self._era.current,
         )
         exchange.respond(200, [], encode_message(reply))
@@ -409,6 +417,12 @@
             whole = msgspec.structs.replace(question, configuration=NO_VERSION, hold=0.0)
             await self._send(address, whole)
 
+    def _confirm(self, reply: SyncReply, asked_at: float) -> None:
+        """Renew the lease on keys where all that the peer knows is in force here."""
+        news = reply.configuration
+        if reply.confirmed is not None and (news is None or news.version <= self.version):
+            self._lease.confirmed(asked_at - reply.confirmed)
+
     def _log_unreadable(self, what: str, reason: str) -> None:
         self._log.event(
             "peer_message_unreadable",
--- a/src/hoisthook/mesh/sync_messages.py
+++ b/src/hoisthook/mesh/sync_messages.py
@@ -146,6 +146,8 @@
         Of what it knows of work that ended backend servers of the asker's service.
     crashes : list of CrashReport
         All that, unless the asker knows the same.
+    confirmed : float or None
+        Seconds since its configuration was known to be the newest, where that matters.
     era : int or None
         The store's, as far as it has heard.
     """
@@ -162,4 +164,5 @@
     evacuated: list[DataCentre] = []
     crash_digest: int = 0
     crashes: list[CrashReport] = []
+    confirmed: float | None = None
     era: int | None = None
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -210,6 +210,14 @@
         "Come back as told.",
     )
 
+    TEAM_KEYS_UNCONFIRMED = CodeEntry(
+        2027,
+        503,
+        Ran.NOT_RUN,
+        "The node has not heard for too long whether keys were taken away.",
+        "Use another node.",
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -165,6 +165,19 @@
     extra: float = 0.0
 
 
+class MeshKeySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What holds for teams' keys that are taken away.
+
+    Attributes
+    ----------
+    revocation_seconds : float
+        So long after the acknowledgement of a change no node takes a key that it took away,
+        whatever it can reach; 0 where a node that cannot know of a change goes on serving.
+    """
+
+    revocation_seconds: float = 0.0
+
+
 class MeshTeamSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What holds for teams, all nodes together.
 
@@ -212,5 +225,6 @@
     measure: MeshMeasureSettings = MeshMeasureSettings()
     routing: MeshRoutingSettings = MeshRoutingSettings()
     cold: MeshColdSettings = MeshColdSettings()
+    keys: MeshKeySettings = MeshKeySettings()
     teams: MeshTeamSettings = MeshTeamSettings()
     logging: MeshLoggingSettings = MeshLoggingSettings()
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -153,6 +153,7 @@
         ("cold.rate_factor", settings.cold.rate_factor, 0.0, 1000.0),
         ("cold.extra", settings.cold.extra, 0.0, 1e6),
         ("routing.data_centre_cost", settings.routing.data_centre_cost, 0.0, 100.0),
+        ("keys.revocation_seconds", settings.keys.revocation_seconds, 0.0, 600.0),
         ("teams.quota_window_seconds", settings.teams.quota_window_seconds, 0.1, 600.0),
         ("teams.quota_over_share", settings.teams.quota_over_share, 0.0, 10.0),
         ("teams.quota_extra", settings.teams.quota_extra, 0.0, 1e6),
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -26,6 +26,7 @@
 from hoisthook.settings.mesh_settings import BackendServerSettings
 from hoisthook.settings.mesh_settings import MeshColdSettings
 from hoisthook.settings.mesh_settings import MeshIdentitySettings
+from hoisthook.settings.mesh_settings import MeshKeySettings
 from hoisthook.settings.mesh_settings import MeshListenSettings
 from hoisthook.settings.mesh_settings import MeshRetrySettings
 from hoisthook.settings.mesh_settings import MeshSettings
@@ -200,7 +201,7 @@
     ----------
     log : ListLog
         Shared by all nodes.
-    readers_per_data_centre, first_start, cold, teams
+    readers_per_data_centre, first_start, cold, keys, teams
         What nodes that are added are told.
     """
 
@@ -211,6 +212,7 @@
         self.readers_per_data_centre = 4
         self.first_start = False
         self.cold = MeshColdSettings()
+        self.keys = MeshKeySettings()
         self.teams = MeshTeamSettings()
         self._pool = ClientPool()
         self._store_pools: list[ClientPool] = []
@@ -351,6 +353,7 @@
                 EVACUATION_PREFIX,
             ),
             cold=self.cold,
+            keys=self.keys,
             teams=self.teams,
             retry=MeshRetrySettings(extra=RETRY_EXTRA),
         )
--- /dev/null
+++ b/tests/mesh/test_key_lease.py
@@ -0,0 +1,73 @@
+"""Where keys must be gone in time, a node that cannot know stops taking them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hoisthook.settings.mesh_settings import MeshKeySettings
+from standin.mesh_store import Outage
+from standin.mesh_system import RouteOptions
+from standin.mesh_system import TeamOptions
+from tests.waiting import until
+
+if TYPE_CHECKING:
+    from standin.mesh_system import MeshSystem
+
+REVOCATION_SECONDS = 3.0
+PORT = TeamOptions("port", ("key",))
+ROUTES = (RouteOptions("shop"), RouteOptions("shop", prefix="/open/", public=True))
+
+
+async def running(system: MeshSystem) -> None:
+    system.keys = MeshKeySettings(REVOCATION_SECONDS)
+    system.readers_per_data_centre = 1
+    for _ in range(4):
+        await system.add("shop")
+    system.introduce_all()
+    system.publish(1, *ROUTES, teams=[PORT])
+    await system.until_configured(1)
+
+
+async def test_keys_are_refused_once_nobody_can_know_and_taken_again_after(
+    system: MeshSystem,
+) -> None:
+    await running(system)
+    for machine in system.machines:
+        assert (await system.call(machine, key="key"))[0] == 200
+    now = system.machines[0].node._clock.now
+    system.store.outage = Outage.BUSY
+    cut_at = now()
+    await until(lambda: not any(m.node.key_lease.holds(now()) for m in system.machines))
+    assert now() - cut_at <= REVOCATION_SECONDS
+    for machine in system.machines:
+        status, _, body = await system.call(machine, key="key")
+        assert (status, body.split()[0]) == (503, b"2027")
+        # Who needs no key is served all the same.
+        assert (await system.call(machine, "/open/x"))[0] == 200
+    system.store.outage = Outage.NONE
+    await until(lambda: all(m.node.key_lease.holds(now()) for m in system.machines))
+    assert (await system.call(system.machines[0], key="key"))[0] == 200
+
+
+async def test_nodes_that_do_not_read_the_store_keep_their_leases_by_their_reader(
+    system: MeshSystem,
+) -> None:
+    await running(system)
+    now = system.machines[0].node._clock.now
+    until_moment = now() + 2 * REVOCATION_SECONDS
+    while now() < until_moment:
+        for machine in system.machines:
+            assert (await system.call(machine, key="key"))[0] == 200
+
+
+@pytest.mark.parametrize("seconds", [0.0])
+async def test_where_it_is_not_asked_for_a_node_goes_on_serving(
+    system: MeshSystem, seconds: float
+) -> None:
+    await running(system)
+    system.store.outage = Outage.BUSY
+    machine = system.machines[0]
+    machine.node._entry._lease._seconds = seconds
+    assert (await system.call(machine, key="key"))[0] == 200
