--- a/src/hoisthook/teams/window_count.py
+++ b/src/hoisthook/teams/window_count.py
@@ -26,9 +26,8 @@
     def add(self, count: float, now: float) -> None:
         """Count tokens that are given out."""
         if self._entries and now - self._entries[-1][0] < ENTRY_SECONDS:
-            _, before = self._entries.pop()
-            # With the later moment, so that none leaves the window too early.
-            self._entries.append((now, before + count))
+            begun, before = self._entries.pop()
+            self._entries.append((begun, before + count))
         else:
             self._entries.append((now, count))
         self._total += count
@@ -48,7 +47,8 @@
 
     def total(self, now: float) -> float:
         """Return the tokens given out within the window up to now."""
-        while self._entries and self._entries[0][0] <= now - self._seconds:
+        # By the last moment that an entry may hold, so that none leaves the window too early.
+        while self._entries and self._entries[0][0] <= now - self._seconds - ENTRY_SECONDS:
             self._total -= self._entries.popleft()[1]
         if not self._entries:
             self._total = 0.0
@@ -57,4 +57,6 @@
     def seconds_to_less(self, now: float) -> float:
         """Return the seconds until the oldest tokens leave the window."""
         self.total(now)
-        return self._entries[0][0] + self._seconds - now if self._entries else 0.0
+        if not self._entries:
+            return 0.0
+        return self._entries[0][0] + ENTRY_SECONDS + self._seconds - now
