--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -14,7 +14,7 @@
 from hoisthook.node.call import Refused
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
-from hoisthook.teams.quota_desk import OverQuota
+from hoisthook.teams.quota_verdict import OverQuota
 from hoisthook.teams.team import rank_of
 from hoisthook.teams.team_table import logged_digest
 from hoisthook.traffic.part_choice import PartChoice
@@ -29,8 +29,8 @@
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
     from hoisthook.routing.link_pace import LinkPace
-    from hoisthook.teams.held_tokens import Token
     from hoisthook.teams.key_lease import KeyLease
+    from hoisthook.teams.quota_verdict import Token
     from hoisthook.teams.team import Team
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.route import Route
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -29,16 +29,15 @@
 from hoisthook.mesh.peer_hop import PeerHop
 from hoisthook.mesh.peer_sync import SYNC_PATH
 from hoisthook.mesh.peer_sync import PeerSync
-from hoisthook.mesh.quota_exchange import QUOTA_PATH
-from hoisthook.mesh.quota_exchange import QuotaExchange
 from hoisthook.mesh.reader_exchange import ReaderExchange
 from hoisthook.mesh.registration import Registration
 from hoisthook.mesh.routed_dispatcher import RetrySettings
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
 from hoisthook.mesh.store_readers import StoreReaders
+from hoisthook.mesh.team_quotas import QUOTA_PATH
+from hoisthook.mesh.team_quotas import TeamQuotas
 from hoisthook.routing.link_pace import LinkPace
 from hoisthook.teams.key_lease import KeyLease
-from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.traffic.configuration_exchange import ConfigurationExchange
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
 from hoisthook.traffic.evacuations import Evacuations
@@ -151,17 +150,7 @@
             log,
         )
         self.crashes.tell_by(self.directory, self.sync)
-        self._quotas = QuotaExchange(
-            QuotaBounds(
-                settings.teams.quota_window_seconds,
-                settings.teams.quota_over_share,
-                settings.teams.quota_extra,
-            ),
-            self.directory,
-            self._peer_pool,
-            clock,
-            log,
-        )
+        self._quotas = TeamQuotas(settings.teams, self.directory, self._peer_pool, clock, log)
         self.sync.on_contact(self._quotas.contacted)
         readers = StoreReaders(self.directory, clock, settings.store.readers_per_data_centre)
         self._reader_exchange = ReaderExchange(readers, self.sync, self._randomness)
@@ -349,6 +338,8 @@
     def _configured(self, configuration: TrafficConfiguration) -> None:
         service = ServiceName(self.settings.node.service)
         self.link.has_traits(configuration.traits_by_service.get(service))
+        if any(team.quota is not None for team in configuration.teams.by_name.values()):
+            self._quotas.start()
         limits = configuration.limits
         if limits is not None:
             self._callers.head_timeout = limits.head_timeout
--- a/src/hoisthook/mesh/quota_exchange.py
+++ b/src/hoisthook/mesh/quota_exchange.py
@@ -8,6 +8,7 @@
 
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnreachableError
+from hoisthook.mesh.team_quotas import QUOTA_PATH
 from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
 from hoisthook.result_code import ResultCode
@@ -20,16 +21,16 @@
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
+    from hoisthook.identity import TeamName
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
-    from hoisthook.teams.held_tokens import Token
     from hoisthook.teams.quota_bounds import QuotaBounds
-    from hoisthook.teams.quota_desk import OverQuota
     from hoisthook.teams.quota_owners import Seat
-    from hoisthook.teams.team import Team
+    from hoisthook.teams.quota_verdict import OverQuota
+    from hoisthook.teams.quota_verdict import Token
+    from hoisthook.teams.team import Quota
 
-QUOTA_PATH = b"/hoisthook/quota"
 # A request waits for the answer; another node is asked in place of one that takes longer.
 CONNECT_SECONDS = 0.1
 ANSWER_SECONDS = 0.15
@@ -81,17 +82,14 @@
         """Stop what is under way."""
         self.desk.close()
 
-    async def admit(self, team: Team, rank: int) -> Token | OverQuota | None:
-        """Return what admits a request, or why it is not admitted; None where any is."""
-        if team.quota is None:
-            return None
+    async def admit(self, team: TeamName, quota: Quota, rank: int) -> Token | OverQuota:
+        """Return what admits a request of a team, or why it is not admitted."""
         self.refresh()
-        return await self.desk.admit(team.name, team.quota, rank)
+        return await self.desk.admit(team, quota, rank)
 
-    def not_run(self, team: Team, token: Token) -> None:
+    def not_run(self, team: TeamName, quota: Quota, token: Token) -> None:
         """Take in that a request that was admitted has not run."""
-        if team.quota is not None:
-            self.desk.not_run(team.name, team.quota, token)
+        self.desk.not_run(team, quota, token)
 
     def contacted(self, address: Address) -> None:
         """Note that another node was heard from."""
--- a/src/hoisthook/teams/held_tokens.py
+++ b/src/hoisthook/teams/held_tokens.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hoisthook.teams.quota_ledger import UnusedToken
 
 if TYPE_CHECKING:
     from hoisthook.identity import TeamName
+    from hoisthook.teams.quota_verdict import Token
 
 # Over which a node's own requests of a team are counted.
 COUNTED_SECONDS = 1.0
@@ -17,25 +17,6 @@
 MAX_TOGETHER = 16
 
 
-@dataclass(frozen=True, slots=True)
-class Token:
-    """Admits one request.
-
-    Attributes
-    ----------
-    given_at : float
-        When it was given out, at the earliest.
-    rank : int
-        Of the request that it was asked for.
-    is_lent : bool
-        Whether another data centre has lent it; such a one is not taken back.
-    """
-
-    given_at: float
-    rank: int = 0
-    is_lent: bool = False
-
-
 class HeldTokens:
     """Tokens by team, each of use until its lease is over.
 
--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -16,11 +15,12 @@
 from hoisthook.result_code import ResultCode
 from hoisthook.teams.away_nodes import AwayNodes
 from hoisthook.teams.held_tokens import HeldTokens
-from hoisthook.teams.held_tokens import Token
 from hoisthook.teams.quota_ledger import QuotaLedger
 from hoisthook.teams.quota_ledger import Share
 from hoisthook.teams.quota_ledger import UnusedToken
 from hoisthook.teams.quota_owners import QuotaOwners
+from hoisthook.teams.quota_verdict import OverQuota
+from hoisthook.teams.quota_verdict import Token
 from hoisthook.teams.team import Quota
 
 if TYPE_CHECKING:
@@ -103,22 +103,6 @@
         """Return a node's answer, or None if it gave none."""
 
 
-@dataclass(frozen=True, slots=True)
-class OverQuota:
-    """Why a request is not admitted.
-
-    Attributes
-    ----------
-    code : ResultCode
-        Over its quota, or nobody can tell.
-    retry_after : float
-        Seconds after which to come back.
-    """
-
-    code: ResultCode
-    retry_after: float
-
-
 class QuotaDesk:
     """Gets a token for each request of a team, and gives out those of the teams it owns.
 
--- a/standin/quota_fleet.py
+++ b/standin/quota_fleet.py
@@ -15,10 +15,10 @@
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
 from hoisthook.identity import TeamName
-from hoisthook.teams.held_tokens import Token
 from hoisthook.teams.quota_bounds import QuotaBounds
 from hoisthook.teams.quota_desk import QuotaDesk
 from hoisthook.teams.quota_owners import QuotaOwners
+from hoisthook.teams.quota_verdict import Token
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/tests/teams/test_held_tokens.py
+++ b/tests/teams/test_held_tokens.py
@@ -2,8 +2,8 @@
 
 from hoisthook.identity import TeamName
 from hoisthook.teams.held_tokens import HeldTokens
-from hoisthook.teams.held_tokens import Token
 from hoisthook.teams.quota_ledger import UnusedToken
+from hoisthook.teams.quota_verdict import Token
 
 TEAM = TeamName("port")
 LEASE = 0.25
--- a/tests/teams/test_quota_fleet.py
+++ b/tests/teams/test_quota_fleet.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hoisthook.identity import TeamName
-from hoisthook.teams.quota_desk import OverQuota
+from hoisthook.teams.quota_verdict import OverQuota
 from hoisthook.teams.team import Quota
 from hoisthook.teams.team import Team
 from standin.quota_fleet import Fleet
