--- a/src/hoisthook/mesh/quota_exchange.py
+++ b/src/hoisthook/mesh/quota_exchange.py
@@ -12,9 +12,9 @@
 from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
 from hoisthook.result_code import ResultCode
-from hoisthook.teams.quota_desk import QuotaAnswer
 from hoisthook.teams.quota_desk import QuotaDesk
-from hoisthook.teams.quota_desk import QuotaQuestion
+from hoisthook.teams.quota_messages import QuotaAnswer
+from hoisthook.teams.quota_messages import QuotaQuestion
 from hoisthook.teams.quota_owners import QuotaOwners
 
 if TYPE_CHECKING:
--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -8,8 +8,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-import msgspec
-
 from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.identity import TeamName
 from hoisthook.result_code import ResultCode
@@ -17,7 +15,8 @@
 from hoisthook.teams.held_tokens import HeldTokens
 from hoisthook.teams.quota_ledger import QuotaLedger
 from hoisthook.teams.quota_ledger import Share
-from hoisthook.teams.quota_ledger import UnusedToken
+from hoisthook.teams.quota_messages import QuotaAnswer
+from hoisthook.teams.quota_messages import QuotaQuestion
 from hoisthook.teams.quota_owners import QuotaOwners
 from hoisthook.teams.quota_verdict import OverQuota
 from hoisthook.teams.quota_verdict import Token
@@ -48,54 +47,6 @@
 TOLD_SECONDS = 1.0
 
 
-class QuotaQuestion(msgspec.Struct, frozen=True, array_like=True):
-    """What one node asks of another.
-
-    Attributes
-    ----------
-    team : TeamName
-        Whose quota.
-    quota : Quota
-        As the asker knows it.
-    wanted : float
-        Tokens; none to find out whether a node answers.
-    unused : list of UnusedToken
-        What the asker gives back.
-    is_lending : bool
-        Whether the asker gives out the quota itself and is short.
-    rank : int
-        Of the request among those of its team; 0 is the most urgent.
-    """
-
-    team: TeamName
-    quota: Quota
-    wanted: float
-    unused: list[UnusedToken] = []
-    is_lending: bool = False
-    rank: int = 0
-
-
-class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True):
-    """The answer.
-
-    Attributes
-    ----------
-    tokens : float
-        Given out; in whole ones unless they are lent.
-    retry_after : float
-        Seconds after which to come back where there are none.
-    knows : bool
-        Whether the node is in a place to tell.
-    is_lent : bool
-        Whether another data centre has lent some of them, so that they are not taken back.
-    """
-
-    tokens: float
-    retry_after: float = 0.0
-    knows: bool = True
-    is_lent: bool = False
-
-
 class QuotaTransport(Protocol):
     """Asks other nodes."""
 
--- a/standin/quota_fleet.py
+++ b/standin/quota_fleet.py
@@ -25,8 +25,8 @@
     from collections.abc import Callable
     from collections.abc import Collection
 
-    from hoisthook.teams.quota_desk import QuotaAnswer
-    from hoisthook.teams.quota_desk import QuotaQuestion
+    from hoisthook.teams.quota_messages import QuotaAnswer
+    from hoisthook.teams.quota_messages import QuotaQuestion
     from hoisthook.teams.quota_owners import Seat
     from hoisthook.teams.team import Quota
     from hoisthook.teams.team import Team
