--- a/src/hoisthook/teams/quota_desk.py
+++ b/src/hoisthook/teams/quota_desk.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 from hoisthook.background_tasks import BackgroundTasks
-from hoisthook.identity import TeamName
 from hoisthook.result_code import ResultCode
 from hoisthook.teams.away_nodes import AwayNodes
 from hoisthook.teams.held_tokens import HeldTokens
@@ -24,6 +23,7 @@
 
 if TYPE_CHECKING:
     from hoisthook.identity import DataCentre
+    from hoisthook.identity import TeamName
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
     from hoisthook.teams.quota_bounds import QuotaBounds
