--- a/src/hoisthook/admission/usable_slots.py
+++ b/src/hoisthook/admission/usable_slots.py
@@ -15,6 +15,9 @@
 # Standard errors by which it must differ: it is looked at after each request, so that chance
 # alone would make it seem to at some time.
 CERTAINTY = 3.5
+# With more slots than these the part is used untried: finding out slows all that runs there, and
+# a server that slows down when nearly full pays for it again after each start of its node.
+MAX_TRIED_SLOTS = 5
 # All slots are tried again so long after that was given up: another version may bear them.
 MEMORY_SECONDS = 60.0
 
@@ -53,8 +56,8 @@
     Load pattern: more comes than the server can do. Some servers slow down when nearly full, so
     that their last slots take more from the others than they give; with others each slot that is
     left free is work turned away: with three slots, a third of it. Nothing that servers say of
-    themselves tells the two apart, so all slots are used until work is seen to take longer
-    beyond the part by more than the slots add.
+    themselves tells the two apart, so where slots are few all are used until work is seen to take
+    longer beyond the part by more than the slots add.
 
     Parameters
     ----------
@@ -71,6 +74,8 @@
     def limit(self, slots: int, now: float) -> int:
         """Return how many of a server's slots to use."""
         part = max(1, int(slots * self._share))
+        if slots > MAX_TRIED_SLOTS:
+            return part
         if now - self._judged_at > MEMORY_SECONDS:
             if not self._slows_down(slots / part):
                 return slots
