Lines of extra tries tell by what the budget was computed; those of lost hops whether they were admitted

Hypotheses of the incident that no line told apart: calls that count as requests (requests, allowed), starts and nodes known (allowed, nodes), tries after a hop that was not heard to be admitted (admitted, arrived). Decisions unchanged.

--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -220,6 +220,7 @@
             configuration=configuration.version,
             tries=done.tries,
             ran=done.ran,
+            arrived=done.arrived,
             sent_to=done.node,
             made_by=call.made_by,
         )
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -186,7 +186,11 @@
         peer = view.peer.node
         if isinstance(lost, Lost):
             self._log.decision(
-                "hop_lost", request=call.request_id, peer=peer, code=lost.code.number
+                "hop_lost",
+                request=call.request_id,
+                peer=peer,
+                code=lost.code.number,
+                admitted=lost.admitted,
             )
         else:
             self._log.decision(
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -103,6 +103,8 @@
         Nodes it was handed to.
     ran : int
         Backend servers that may have run it.
+    arrived : int
+        Backend servers that it may have reached, those that rejected it among them.
     node : str
         The last node.
     """
@@ -110,6 +112,7 @@
     outcome: Outcome
     tries: int
     ran: int
+    arrived: int
     node: str
 
 
@@ -122,6 +125,7 @@
     queue_tries: int = 0
     tries: int = 0
     ran: int = 0
+    rejected: int = 0
     # Sent whole to a node that was not heard from, where it may run later.
     unheard: int = 0
     node: str = ""
@@ -130,6 +134,11 @@
     soonest: float = float("inf")
     code: ResultCode = ResultCode.NO_BACKEND_SERVER
 
+    def dispatched(self, outcome: Outcome) -> Dispatched:
+        """Return the last word with what the tries have shown."""
+        arrived = self.ran + self.rejected + self.unheard
+        return Dispatched(outcome, self.tries, self.ran, arrived, self.node)
+
 
 class RoutedDispatcher:
     """Asks the nearest node that is likely to be fast, then others, then waits at one.
@@ -195,12 +204,10 @@
                 progress.left_out.add(view.peer.node)
             if not self._goes_on(view, call, outcome, progress):
                 if isinstance(outcome, WholeAnswer):
-                    return Dispatched(outcome, progress.tries, progress.ran, progress.node)
+                    return progress.dispatched(outcome)
                 break
         # Not the last outcome alone: after a try that may have run, a refusal says too much.
-        return Dispatched(
-            self._conclude(call, progress), progress.tries, progress.ran, progress.node
-        )
+        return progress.dispatched(self._conclude(call, progress))
 
     def _next(self, call: RoutedCall, progress: _Progress) -> tuple[PeerView, Admission] | None:
         now = self._clock.now()
@@ -235,6 +242,7 @@
             progress.code = outcome.code
             progress.soonest = min(progress.soonest, outcome.retry_after)
             if outcome.code in _ARRIVED_CODES:
+                progress.rejected += 1
                 if outcome.code is ResultCode.BACKEND_SERVER_SHED:
                     progress.left_out.add(node)
                 return self._take_budget(call, outcome.code.number, RetryKind.REDIRECT)
@@ -266,9 +274,21 @@
         return self._take_budget(call, reason, RetryKind.RERUN)
 
     def _take_budget(self, call: RoutedCall, reason: int, kind: RetryKind) -> bool:
-        taken = self._budget(call.service).take(self._clock.now(), kind)
+        budget = self._budget(call.service)
+        now = self._clock.now()
+        taken = budget.take(now, kind)
+        usage = budget.usage(now)
         self._log.decision(
-            "extra_try", request=call.request_id, reason=reason, granted=taken, service=call.service
+            "extra_try",
+            request=call.request_id,
+            reason=reason,
+            granted=taken,
+            service=call.service,
+            kind=kind.value,
+            tries=usage.tries,
+            requests=usage.requests,
+            allowed=round(usage.allowed, 2),
+            nodes=len(self._directory),
         )
         return taken
 
--- a/src/hoisthook/retry/windowed_retry_budget.py
+++ b/src/hoisthook/retry/windowed_retry_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 
 
@@ -16,6 +17,25 @@
     """The request has run or may have run, and makes its calls again."""
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetUsage:
+    """What a node counts of one service in the last window.
+
+    Attributes
+    ----------
+    requests : int
+        By which its part is computed.
+    tries : int
+        Extra ones that were granted.
+    allowed : float
+        Its part.
+    """
+
+    requests: int
+    tries: int
+    allowed: float
+
+
 class WindowedRetryBudget:
     """Extra tries within any window: a share of its requests and a fixed number.
 
@@ -82,6 +102,12 @@
             self._reruns.append(now)
         return True
 
+    def usage(self, now: float) -> BudgetUsage:
+        """Return what the last window holds."""
+        self._expire(now)
+        allowed = self._ratio * len(self._requests) + self.extra
+        return BudgetUsage(len(self._requests), len(self._tries), allowed)
+
     def _has_room(self, made: deque[float], allowed: float) -> bool:
         return len(made) + 1 <= allowed + self._rounding
 
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -10,6 +10,7 @@
 from hoisthook.identity import NodeId
 from hoisthook.identity import ServiceName
 from hoisthook.mesh.peer import Peer
+from standin.mesh_backend import Fault
 from standin.mesh_system import HOST
 from standin.mesh_system import RouteOptions
 
@@ -143,6 +144,21 @@
     assert system.log.named("extra_try") == []
 
 
+async def test_lines_tell_a_loss_before_admission_and_what_may_have_arrived(
+    system: MeshSystem, odd_peers: list[OddPeer]
+) -> None:
+    odd = OddPeer(drops=True)
+    entry, sound = await entry_with(system, odd_peers, odd, safe=True)
+    sound.backend.fault = Fault.SHED
+    await system.call(entry)
+    assert [line["admitted"] for line in system.log.named("hop_lost")] == [False]
+    (answered,) = system.log.named("answered")
+    assert answered["arrived"] == 2
+    (asked,) = system.log.named("extra_try")
+    assert asked["kind"] == "redirect"
+    assert (asked["requests"], asked["nodes"]) == (1, len(entry.node.directory))
+
+
 async def test_silence_leaves_time_for_another_node_within_the_target(
     system: MeshSystem, odd_peers: list[OddPeer], monkeypatch: pytest.MonkeyPatch
 ) -> None:
