--- a/src/hoisthook/experiment/load_pattern.py
+++ b/src/hoisthook/experiment/load_pattern.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hoisthook.experiment.arrival_ledger import ArrivalLedger
 from hoisthook.identity import RouteName
 from hoisthook.identity import ServiceName
 
@@ -36,6 +37,9 @@
     RETRIES = "retries"
     """Callers repeat what fails ``strength`` times, at once."""
 
+    NODE_STARTS = "node_starts"
+    """Nodes start anew and know nothing of before; until it ends they know a few others only."""
+
 
 class Trouble(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One disruption.
@@ -185,6 +189,8 @@
         Connections that nobody answered.
     seconds : list of float
         From a caller's first try to its answer.
+    arrivals : ArrivalLedger
+        What reached backend servers, calls among it.
     """
 
     owed: float = 0.0
@@ -198,6 +204,7 @@
     owed_by_second: dict[int, float] = field(default_factory=dict)
     earned_by_second: dict[int, float] = field(default_factory=dict)
     seconds: list[float] = field(default_factory=list)
+    arrivals: ArrivalLedger = field(default_factory=ArrivalLedger)
 
     @property
     def requests(self) -> int:
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -113,18 +113,28 @@
         budget = MeasureBudget(READS_PER_SECOND, clock.now())
         self.admitter = Admitter(self._speed, self.reader, budget, USABLE_SHARE, clock)
         self.admitter.has_slots(server.slots)
-        self.directory = PeerDirectory(peer, NoLog())
+        self.hop = ModelledHop(system, clock)
+        self.begin()
+
+    def begin(self) -> None:
+        """Begin as a process does that knows nothing of its predecessor."""
+        self.directory = PeerDirectory(self.peer, NoLog())
         choice = PeerChoice(
             self.directory,
             ChoiceSettings(DATA_CENTRE_COST),
             Evacuations(NoLog()),
-            random.Random(system.draw()),
+            random.Random(self._system.draw()),
         )
-        self.hop = ModelledHop(system, clock)
         self.dispatcher = RoutedDispatcher(
-            choice, self.hop, self.directory, RETRY_SETTINGS, clock, NoLog()
+            choice, self.hop, self.directory, RETRY_SETTINGS, self._clock, NoLog()
         )
 
+    def listed(self, peers: list[Peer]) -> None:
+        """Take in all nodes but those that it cannot know yet."""
+        if self._system.starts_until(self) > self._clock.now():
+            peers = [peer for peer in peers if peer.data_centre == self.peer.data_centre]
+        self.directory.merge(peers, "model")
+
     def load(self) -> BesideLoad:
         """Return what the node tells others."""
         gate = self.admitter.gate
@@ -172,11 +182,13 @@
 
     async def _work(self, call: RoutedCall) -> Ended:
         route = self._system.route_by_name[call.route]
+        is_repeat = self._system.arrived(call)
         ended = await self.server.run(route)
         if ended is not Ended.DONE or self._system.draw_share() >= route.call_share:
             return ended
         called = self._system.route_by_name[route.calls]
-        outcome = await self._system.ask(self, called, call.deadline - self._clock.now())
+        time_left = call.deadline - self._clock.now()
+        outcome = await self._system.ask(self, called, time_left, by_repeat=is_repeat)
         served = isinstance(outcome, WholeAnswer) and outcome.status == SUCCESS
         return Ended.DONE if served else Ended.FAILED
 
@@ -247,6 +259,8 @@
         self.route_by_name: dict[RouteName, RouteTraits] = {r.name: r for r in pattern.routes}
         self.node_by_id: dict[NodeId, ModelledNode] = {}
         self.tally = Tally()
+        self._calls_of_repeats: set[RequestId] = set()
+        self._starts_until: dict[NodeId, float] = {}
 
     def play(self) -> Tally:
         """Play the pattern; return what became of its requests."""
@@ -261,10 +275,24 @@
         """Return a number from 0 up to 1."""
         return self._randomness.random()
 
-    async def ask(self, entry: ModelledNode, route: RouteTraits, time_left: float) -> Outcome:
-        """Send one request to a node as a caller beside it does."""
+    def starts_until(self, node: ModelledNode) -> float:
+        """Return until when a node that has started anew knows its data centre only."""
+        return self._starts_until.get(node.peer.node, 0.0)
+
+    def arrived(self, call: RoutedCall) -> bool:
+        """Note that a call reaches a backend server; return whether its run is a repeat."""
+        by_repeat = call.request_id in self._calls_of_repeats
+        now = self._clock.now()
+        return self.tally.arrivals.arrived(call.service, call.request_id, now, by_repeat=by_repeat)
+
+    async def ask(
+        self, entry: ModelledNode, route: RouteTraits, time_left: float, *, by_repeat: bool
+    ) -> Outcome:
+        """Send one request to a node as a caller beside it, or the backend server, does."""
         now = self._clock.now()
         self._requests += 1
+        if by_repeat:
+            self._calls_of_repeats.add(RequestId(str(self._requests)))
         time_left = min(time_left, route.timeout)
         call = RoutedCall(
             request_id=RequestId(str(self._requests)),
@@ -294,8 +322,11 @@
                 self._add_node(service.name, number)
         peers = [node.peer for node in self.node_by_id.values()]
         for node in self.node_by_id.values():
-            node.directory.merge(peers, "model")
+            node.listed(peers)
         async with asyncio.TaskGroup() as callers:
+            for trouble in self._pattern.troubles:
+                if trouble.kind is Befall.NODE_STARTS:
+                    callers.create_task(self._start_nodes(trouble, peers))
             for route in self._pattern.routes:
                 if route.per_second > 0:
                     callers.create_task(self._arrivals(route, callers))
@@ -320,6 +351,18 @@
         )
         self.node_by_id[peer.node] = ModelledNode(peer, server, self, self._clock)
 
+    async def _start_nodes(self, trouble: Trouble, peers: list[Peer]) -> None:
+        await asyncio.sleep(trouble.at)
+        nodes = list(self.node_by_id.values())
+        started = self._randomness.sample(nodes, round(trouble.share * len(nodes)))
+        for node in started:
+            self._starts_until[node.peer.node] = trouble.at + trouble.lasts
+            node.begin()
+            node.listed(peers)
+        await asyncio.sleep(trouble.lasts)
+        for node in started:
+            node.listed(peers)
+
     async def _arrivals(self, route: RouteTraits, callers: asyncio.TaskGroup) -> None:
         entries = list(self.node_by_id.values())
         while self._clock.now() < self._pattern.seconds:
@@ -333,14 +376,19 @@
         begun = self._clock.now()
         storm = self._strength(Befall.RETRIES, 0.0)
         retries = max(route.retries, int(storm))
-        outcome = await self.ask(entry, route, route.timeout)
+        outcome = await self._ask(entry, route, route.timeout)
         while retries > 0 and _may_retry(outcome, route):
             retries -= 1
             wait = outcome.retry_after if isinstance(outcome, Refused) else IMPATIENT_SECONDS
             await asyncio.sleep(IMPATIENT_SECONDS if storm else wait)
-            outcome = await self.ask(entry, route, route.timeout - (self._clock.now() - begun))
+            left = route.timeout - (self._clock.now() - begun)
+            outcome = await self._ask(entry, route, left)
         self._count(route, begun, outcome)
 
+    async def _ask(self, entry: ModelledNode, route: RouteTraits, time_left: float) -> Outcome:
+        self.tally.arrivals.requested(route.service, self._clock.now())
+        return await self.ask(entry, route, time_left, by_repeat=False)
+
     def _count(self, route: RouteTraits, begun: float, outcome: Outcome) -> None:
         tally = self.tally
         took = self._clock.now() - begun
--- /dev/null
+++ b/tests/experiment/test_retry_budget.py
@@ -0,0 +1,86 @@
+"""Loads under which all nodes together made more extra tries than operators allow."""
+
+from __future__ import annotations
+
+import pytest
+
+from hoisthook.experiment.load_pattern import Befall
+from hoisthook.experiment.load_pattern import LoadPattern
+from hoisthook.experiment.load_pattern import RouteTraits
+from hoisthook.experiment.load_pattern import ServiceTraits
+from hoisthook.experiment.load_pattern import Trouble
+from hoisthook.experiment.modelled_system import RETRY_SETTINGS
+from hoisthook.experiment.modelled_system import ModelledSystem
+from hoisthook.identity import RouteName
+from hoisthook.identity import ServiceName
+
+READS = ServiceName("reads")
+DESK = ServiceName("desk")
+SEEDS = (1, 2, 3)
+# Half of the nodes, every 1.2 s.
+SERIES = [3.0 + 1.2 * number for number in range(8)]
+
+
+def pattern(*troubles: Trouble, retries: int = 1, reads: float = 116.0) -> LoadPattern:
+    """Return 13 nodes of three services; requests of the first make calls to the second."""
+    services = [
+        ServiceTraits(READS, 6),
+        ServiceTraits(DESK, 4),
+        ServiceTraits(ServiceName("pass"), 3),
+    ]
+    read = RouteTraits(
+        RouteName("read"),
+        READS,
+        reads,
+        0.22,
+        0.6,
+        1.2,
+        calls=RouteName("profile"),
+        call_share=0.7,
+        retries=retries,
+    )
+    redeem = RouteTraits(RouteName("redeem"), DESK, 40.0, 0.29, 0.8, 1.5, repeatable=False)
+    profile = RouteTraits(RouteName("profile"), DESK, 0.0, 0.055, 0.15, 0.6)
+    return LoadPattern("budget", 16.0, services, [read, redeem, profile], list(troubles))
+
+
+def assert_kept(load: LoadPattern, seed: int) -> None:
+    arrivals = ModelledSystem(load, seed).play().arrivals
+    for service in (READS, DESK):
+        fullest = arrivals.fullest(
+            service,
+            ratio=RETRY_SETTINGS.ratio,
+            window=RETRY_SETTINGS.window,
+            extra=RETRY_SETTINGS.extra,
+        )
+        assert fullest.beyond <= fullest.allowed, f"{service}: {fullest}"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_calls_do_not_raise_the_retry_budget(seed: int) -> None:
+    load = pattern(
+        Trouble(Befall.SHEDS, 2.0, 12.0, strength=0.85, service=DESK),
+        Trouble(Befall.SHEDS, 2.0, 12.0, strength=0.85, service=READS),
+        Trouble(Befall.BURST, 2.0, 12.0, strength=2.0),
+    )
+    assert_kept(load, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_starts_in_series_do_not_renew_the_retry_budget(seed: int) -> None:
+    starts = (Trouble(Befall.NODE_STARTS, at, 0.0, share=0.5) for at in SERIES)
+    load = pattern(
+        Trouble(Befall.SHEDS, 2.0, 12.0, strength=0.85, service=READS), *starts, retries=0
+    )
+    assert_kept(load, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_nodes_that_know_few_do_not_share_the_retry_budget_among_few(seed: int) -> None:
+    load = pattern(
+        Trouble(Befall.SHEDS, 2.0, 12.0, strength=0.85, service=READS),
+        Trouble(Befall.NODE_STARTS, 1.0, 14.0),
+        retries=0,
+        reads=40.0,
+    )
+    assert_kept(load, seed)
