Repeats are admitted beside the backend server, and a start begins with none

Cause: the budget was a count of the last window in the memory of each entry. It began empty at each start, so that each start had the fixed number once more. Class: a bound of all nodes that is computed from what one process remembers. Evidence: 65 starts, 412 tries granted, 159 computed as allowed by the processes left at the end; all but 7 of 811 lines divided by 13 nodes, and next to no try after an unheard hop arrived. Ruled out by these: nodes known, unheard hops. Mend: all requests for a backend server pass the node beside it, which admits repeats by tokens. They begin at none and accrue with time and with first arrivals; what can be saved up (a quarter) and what accrues in a window (half) stay within the node's part, so starts can only lose some. The fixed number is divided among the nodes of the service, not of the fleet, so a part is whole tries at any size, and only once all registered nodes are known.

--- a/benchmark/quotas.py
+++ b/benchmark/quotas.py
@@ -14,7 +14,7 @@
 from hoisthook.identity import TeamName
 from hoisthook.teams.team import Quota
 from hoisthook.teams.team import Team
-from hoisthook.teams.token_bucket import TokenBucket
+from hoisthook.token_bucket import TokenBucket
 from standin.quota_fleet import BOUNDS
 from standin.quota_fleet import Fleet
 from standin.quota_fleet import bound
--- /dev/null
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -0,0 +1,128 @@
+"""Admits repeats at the backend server beside, within the budget of its service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from hoisthook.node.call import Refused
+from hoisthook.result_code import ResultCode
+from hoisthook.retry.arrival import Arrival
+from hoisthook.retry.arrival_budget import ArrivalBudget
+from hoisthook.retry.arrival_budget import part_of
+
+if TYPE_CHECKING:
+    from hoisthook.identity import NodeId
+    from hoisthook.identity import RequestId
+    from hoisthook.port.clock import Clock
+    from hoisthook.port.event_log import EventLog
+    from hoisthook.retry.arrival_budget import RetrySettings
+
+# Other nodes send no repeats for this long at most; requests that come meanwhile open sooner.
+MAX_CLOSED_SECONDS = 0.25
+MIN_CLOSED_SECONDS = 0.02
+
+
+class ServiceNodes(Protocol):
+    """Who shares the budget."""
+
+    @property
+    def digest(self) -> int:
+        """Return a number that changes with the nodes that are known."""
+
+    @property
+    def is_whole(self) -> bool:
+        """Return whether all nodes are known that were registered."""
+
+    def beside_same_service(self) -> list[NodeId]:
+        """Return the nodes beside backend servers of this node's service, itself included."""
+
+
+class Try(Protocol):
+    """A request on its way to the backend server."""
+
+    request_id: RequestId
+    arrival: Arrival
+
+
+class RepeatLimit:
+    """Decides on repeats where they arrive: all requests for a backend server pass its node.
+
+    Parameters
+    ----------
+    node : NodeId
+        This one.
+    nodes : ServiceNodes
+        Who shares the budget.
+    settings : RetrySettings
+        The budget of the service.
+    clock : Clock
+        Monotonic.
+    log : EventLog
+        Gets a line for each repeat.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        nodes: ServiceNodes,
+        settings: RetrySettings,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        self._node = node
+        self._nodes = nodes
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._budget = ArrivalBudget(settings, clock.now())
+        self._shared_by = 0
+        self._seen: tuple[int, bool] | None = None
+
+    def refresh(self) -> None:
+        """Divide the fixed number among the nodes that are known now; begins to accrue by it."""
+        seen = (self._nodes.digest, self._nodes.is_whole)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        nodes = self._nodes.beside_same_service() if self._nodes.is_whole else []
+        self._shared_by = len(nodes)
+        part = part_of(self._settings.extra, self._node, nodes) if nodes else 0.0
+        self._budget.has_part(part, self._clock.now())
+
+    def refuse(self, call: Try) -> Refused | None:
+        """Refuse a repeat that has no room in the budget."""
+        self.refresh()
+        if not call.arrival.is_repeat:
+            return None
+        now = self._clock.now()
+        if self._budget.allows(call.arrival, now):
+            return None
+        self._tell(call, now, granted=False)
+        opens_in = self._budget.opens_in(call.arrival, now)
+        retry_after = min(MAX_CLOSED_SECONDS, max(MIN_CLOSED_SECONDS, opens_in))
+        return Refused(ResultCode.RETRY_BUDGET_SPENT, retry_after)
+
+    def arrives(self, call: Try) -> Refused | None:
+        """Count a try that is about to be sent, or refuse it."""
+        refused = self.refuse(call)
+        if refused is not None:
+            return refused
+        now = self._clock.now()
+        self._budget.arrived(call.arrival, now)
+        if call.arrival is Arrival.FIRST:
+            self._budget.requested(1.0, now)
+        else:
+            self._tell(call, now, granted=True)
+        return None
+
+    def _tell(self, call: Try, now: float, *, granted: bool) -> None:
+        self._log.decision(
+            "extra_try",
+            request=call.request_id,
+            granted=granted,
+            kind=call.arrival.name.lower(),
+            level=round(self._budget.level(now), 2),
+            part=round(self._budget.part, 2),
+            nodes=self._shared_by,
+        )
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -34,6 +34,7 @@
     from hoisthook.admission.priority_gate import PriorityGate
     from hoisthook.beside.crash_watch import CrashWatch
     from hoisthook.beside.link_settings import LinkSettings
+    from hoisthook.beside.repeat_limit import RepeatLimit
     from hoisthook.identity import Address
     from hoisthook.measure.measure_budget import MeasureBudget
     from hoisthook.membership.backend_incarnation import BackendIncarnation
@@ -70,6 +71,8 @@
         How it is used.
     crashes : CrashWatch
         Told of what ran there as it ended, and of what ran well; refuses.
+    repeats : RepeatLimit
+        Told of each arrival; refuses.
     log : EventLog
         Gets a line for each refusal and each loss.
 
@@ -95,6 +98,7 @@
         budget: MeasureBudget,
         settings: LinkSettings,
         crashes: CrashWatch,
+        repeats: RepeatLimit,
         log: EventLog,
     ) -> None:
         self._address = address
@@ -117,6 +121,7 @@
             self.gate.cold.bound(0)
         self._settings = settings
         self._crashes = crashes
+        self._repeats = repeats
         self.ends.on_ended(crashes.ended)
         self._lines = AdmissionLines(self.gate, self._speed, self.belief, clock, log)
         self.leaving = False
@@ -233,9 +238,9 @@
             return Refused(ResultCode.UNREACHABLE, belief.closed_until - now)
         if call.time_left(now) <= 0:
             return Refused(ResultCode.DEADLINE_PASSED, 0.0)
-        harmful = self._crashes.refuse(call)
-        if harmful is not None:
-            return harmful
+        refused = self._crashes.refuse(call) or self._repeats.refuse(call)
+        if refused is not None:
+            return refused
         return _refusal(self._admitter.rule(demand, may_wait=may_wait))
 
     def _refuse_late(self, call: RoutedCall) -> Refused | None:
@@ -249,7 +254,7 @@
             return Refused(ResultCode.DATA_CENTRE_EVACUATED, EVACUATED_RETRY_SECONDS)
         if not self.belief.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
-        return self._crashes.refuse(call)
+        return self._crashes.refuse(call) or self._repeats.arrives(call)
 
     def _demand(self, call: RoutedCall) -> Demand:
         return self._admitter.demand(
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -12,6 +12,7 @@
 from hoisthook.identity import RouteName
 from hoisthook.identity import ServiceName
 from hoisthook.identity import TeamName
+from hoisthook.retry.arrival import Arrival
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
@@ -21,9 +22,9 @@
 RESULT = b"hoisthook-result"
 RETRY_AFTER_MS = b"hoisthook-retry-after-ms"
 WAIT_MS = b"hoisthook-wait-ms"
-FIELDS = 9
+FIELDS = 10
 # The last one is left out where no team asks.
-FIELDS_WITH_TEAM = 10
+FIELDS_WITH_TEAM = 11
 MILLIS = 1000.0
 
 
@@ -76,6 +77,8 @@
         Version in force at the sender.
     team : TeamName or None
         Who asks, if that is known.
+    arrival : Arrival
+        What is known of its earlier tries.
     """
 
     service: ServiceName
@@ -88,6 +91,7 @@
     target_left: float
     configuration: int
     team: TeamName | None = None
+    arrival: Arrival = Arrival.FIRST
 
     def encode(self) -> bytes:
         """Return the header's value; times in whole milliseconds."""
@@ -101,6 +105,7 @@
             str(round(self.time_left * MILLIS)),
             str(round(self.target_left * MILLIS)),
             str(self.configuration),
+            self.arrival.value,
         ]
         if self.team is not None:
             parts.append(quote(self.team, safe=""))
@@ -123,7 +128,8 @@
                 time_left=int(parts[6]) / MILLIS,
                 target_left=int(parts[7]) / MILLIS,
                 configuration=int(parts[8]),
-                team=TeamName(unquote(parts[9])) if len(parts) == FIELDS_WITH_TEAM else None,
+                arrival=Arrival(parts[9]),
+                team=TeamName(unquote(parts[10])) if len(parts) == FIELDS_WITH_TEAM else None,
             )
         except ValueError:
             return None
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -139,6 +139,7 @@
         target_latency=header.target_left,
         priority=header.priority,
         team=header.team,
+        arrival=header.arrival,
         repeatable=False,
         max_attempts=1,
     )
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -10,6 +10,7 @@
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
 from hoisthook.beside.link_settings import LinkSettings
+from hoisthook.beside.repeat_limit import RepeatLimit
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
 from hoisthook.identity import ServiceName
@@ -31,11 +32,11 @@
 from hoisthook.mesh.peer_sync import PeerSync
 from hoisthook.mesh.reader_exchange import ReaderExchange
 from hoisthook.mesh.registration import Registration
-from hoisthook.mesh.routed_dispatcher import RetrySettings
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
 from hoisthook.mesh.store_readers import StoreReaders
 from hoisthook.mesh.team_quotas import QUOTA_PATH
 from hoisthook.mesh.team_quotas import TeamQuotas
+from hoisthook.retry.arrival_budget import RetrySettings
 from hoisthook.routing.link_pace import LinkPace
 from hoisthook.teams.key_lease import KeyLease
 from hoisthook.traffic.configuration_exchange import ConfigurationExchange
@@ -119,6 +120,11 @@
         self.evacuations.on_change(self._evacuated)
         service = ServiceName(settings.node.service)
         self.crashes = CrashDefence(service, clock, log)
+        self.directory = PeerDirectory(self._me(service), log)
+        retry = RetrySettings(
+            settings.retry.ratio, settings.retry.window_seconds, settings.retry.extra
+        )
+        self.repeats = RepeatLimit(self.directory.me.node, self.directory, retry, clock, log)
         self.link = BackendLink(
             parse_address(settings.backend_server.address),
             wire=backend_wire,
@@ -131,9 +137,9 @@
                 settings.cold.extra,
             ),
             crashes=self.crashes.watch,
+            repeats=self.repeats,
             log=log,
         )
-        self.directory = PeerDirectory(self._me(service), log)
         self.era = StoreEra(log)
         self.key_lease = KeyLease(settings.keys.revocation_seconds)
         self.sync = PeerSync(
@@ -306,22 +312,13 @@
         )
 
     def _make_entry(self, service: ServiceName, wire: CallerWire) -> Entry:
-        settings = self.settings
         choice = PeerChoice(
             self.directory,
-            ChoiceSettings(settings.routing.data_centre_cost),
+            ChoiceSettings(self.settings.routing.data_centre_cost),
             self.evacuations,
             self._randomness,
         )
-        retry = RetrySettings(
-            settings.retry.ratio,
-            settings.retry.window_seconds,
-            settings.retry.extra,
-            rounding=self._randomness.random(),
-        )
-        dispatcher = RoutedDispatcher(
-            choice, self._hop, self.directory, retry, self._clock, self._log
-        )
+        dispatcher = RoutedDispatcher(choice, self._hop, self._clock)
         return Entry(
             service,
             wire,
@@ -362,6 +359,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._backend_pool.drop_idle()
             self._peer_pool.drop_idle()
+            self.repeats.refresh()
 
     def _run(self, *runs: Callable[[], Awaitable[None]]) -> None:
         loop = asyncio.get_running_loop()
--- a/src/hoisthook/mesh/peer.py
+++ b/src/hoisthook/mesh/peer.py
@@ -81,6 +81,8 @@
         self.address: Address = parse_address(peer.address)
         self.in_flight = 0
         self.closed_until = -math.inf
+        # Its budget of repeats is spent; first tries go there as ever.
+        self.no_repeats_until = -math.inf
         # Only what befell the node itself; it answers questions whatever is beside it.
         self.away_until = -math.inf
         self.suspected = False
--- a/src/hoisthook/mesh/peer_choice.py
+++ b/src/hoisthook/mesh/peer_choice.py
@@ -84,6 +84,8 @@
         views = list(self._open(call, left_out, now))
         if not views:
             views = [v for v in self._allowed(call.service) if v.peer.node not in left_out]
+        if call.arrival.is_repeat:
+            views = [view for view in views if view.no_repeats_until <= now]
         return self._best(views, call, now)
 
     def to_probe(self, call: RoutedCall, now: float) -> PeerView | None:
@@ -105,6 +107,8 @@
         for view in self._allowed(call.service):
             if view.suspected or view.closed_until > now:
                 continue
+            if call.arrival.is_repeat and view.no_repeats_until > now:
+                continue
             if view.peer.node not in left_out:
                 yield view
 
--- a/src/hoisthook/mesh/peer_directory.py
+++ b/src/hoisthook/mesh/peer_directory.py
@@ -47,6 +47,9 @@
         Set once another node has told this one of all nodes unasked.
     listed : asyncio.Event
         Set once the store's list has been read or any other node is known.
+    is_whole : bool
+        Whether all nodes are known that were registered: the store's list has been read, or another
+        node has told it. What is divided by their number must not be divided by a few.
     """
 
     def __init__(self, me: Peer, log: EventLog) -> None:
@@ -59,6 +62,7 @@
         self.digest = 0
         self.told = asyncio.Event()
         self.listed = asyncio.Event()
+        self.is_whole = False
         self._add(me)
 
     def __len__(self) -> int:
@@ -99,6 +103,10 @@
         """Return the nodes beside backend servers of a service."""
         return self._by_service.get(service, {}).values()
 
+    def beside_same_service(self) -> list[NodeId]:
+        """Return the nodes beside backend servers of this node's service, itself included."""
+        return list(self._by_service.get(self.me.service, {}))
+
     def merge(self, peers: Iterable[Peer], source: str) -> int:
         """Take in nodes; return how many were new or had changed."""
         added: list[NodeId] = []
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -130,6 +130,8 @@
             view.backend_server_away(outcome.retry_after, now)
         elif isinstance(outcome, Refused) and outcome.code in _CLOSING_CODES:
             view.close_until(now + outcome.retry_after)
+        elif isinstance(outcome, Refused) and outcome.code is ResultCode.RETRY_BUDGET_SPENT:
+            view.no_repeats_until = now + outcome.retry_after
 
     async def _run_remote(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
         connection = await self._connect(view)
@@ -147,6 +149,7 @@
             target_left=call.target_left(now),
             configuration=self._sync.version,
             team=call.team,
+            arrival=call.arrival,
         )
         exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
         silence = LEAVING_SILENCE_SECONDS if self.leaving and not call.held_back else 0.0
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -296,6 +296,7 @@
         self._directory.merge([question.sender, *question.peers], "peer")
         self._contacted((exchange.peer[0], self.peer_port))
         if question.peers:
+            self._directory.is_whole = True
             self._directory.told.set()
         # Before the hold: findings bear their age at the moment of the question.
         self._take_findings(question)
--- a/src/hoisthook/mesh/registration.py
+++ b/src/hoisthook/mesh/registration.py
@@ -198,6 +198,7 @@
         page = await self._store.newest(self._topic)
         peers = list(self._peers(page))
         self._directory.merge(peers, "store")
+        self._directory.is_whole = True
         self._directory.listed.set()
         return peers
 
--- a/src/hoisthook/mesh/routed_call.py
+++ b/src/hoisthook/mesh/routed_call.py
@@ -6,6 +6,7 @@
 from functools import cached_property
 from typing import TYPE_CHECKING
 
+from hoisthook.retry.arrival import Arrival
 from hoisthook.retry.work_identity import identify
 
 if TYPE_CHECKING:
@@ -53,6 +54,8 @@
         Who asks; None where teams are not told apart or none is known.
     made_by : RequestId or None
         The request that runs beside the first node and makes this one, if any does.
+    arrival : Arrival
+        What is known of its earlier tries.
     held_back : bool
         Whether its end is sent only to a node that has asked for it, so that it runs nowhere
         else.
@@ -77,6 +80,7 @@
     max_attempts: int
     team: TeamName | None = None
     made_by: RequestId | None = None
+    arrival: Arrival = Arrival.FIRST
     held_back: bool = False
     is_whole: bool = True
 
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -1,4 +1,4 @@
-"""Finds a backend server that runs a routed request, within its deadline and budgets."""
+"""Finds a backend server that runs a routed request, within its deadline."""
 
 from __future__ import annotations
 
@@ -12,19 +12,15 @@
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
-from hoisthook.retry.windowed_retry_budget import RetryKind
-from hoisthook.retry.windowed_retry_budget import WindowedRetryBudget
+from hoisthook.retry.arrival import Arrival
 
 if TYPE_CHECKING:
     from hoisthook.identity import NodeId
-    from hoisthook.identity import ServiceName
     from hoisthook.mesh.outcome import Outcome
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_choice import PeerChoice
-    from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.mesh.routed_call import RoutedCall
     from hoisthook.port.clock import Clock
-    from hoisthook.port.event_log import EventLog
 
 # Nodes asked whether they can start a request at once; each costs a way there and back.
 MAX_DIRECT_TRIES = 4
@@ -35,12 +31,6 @@
 MAX_QUEUE_TRIES = 2
 NO_BACKEND_SERVER_RETRY_SECONDS = 0.3
 MIN_RETRY_AFTER_SECONDS = 0.05
-# Share of the budget that tries made here may use, and the part of it for reruns. The calls of a
-# request that runs again count as repeats at the services they go to, which these tries do not
-# see: with 1.4 calls a request, as the users' busiest route makes, 0.7 and 0.15 * 1.4 of the
-# budget of the service that is called stay within it. Routes that make two calls use all of it.
-OWN_SHARE_OF_BUDGET = 0.7
-RERUN_SHARE_OF_BUDGET = 0.15
 # Below this nothing can be run any more.
 MIN_TIME_LEFT_SECONDS = 0.003
 FAILURE_STATUSES = frozenset({500, 502, 503})
@@ -69,28 +59,6 @@
         """Find out beside the requests whether a suspected node takes connections again."""
 
 
-@dataclass(frozen=True, slots=True)
-class RetrySettings:
-    """The budget of extra tries that all nodes share.
-
-    Attributes
-    ----------
-    ratio : float
-        Extra tries per request of a service.
-    window : float
-        Seconds.
-    extra : float
-        Extra tries that all nodes together may make in a window besides.
-    rounding : float
-        Drawn by the node, from 0 up to 1, see `WindowedRetryBudget`.
-    """
-
-    ratio: float
-    window: float
-    extra: float
-    rounding: float = 0.0
-
-
 @dataclass(slots=True)
 class Dispatched:
     """What became of a request.
@@ -150,8 +118,9 @@
     none had run. Some do all the same, over a link that takes longer than the silence that is
     borne: 11 requests of a day of 24 nodes ran on more backend servers than their routes allow, and
     none since the last attempt that a route allows is held back, see `AdmittedExchange`. What was
-    admitted and not answered is tried again only if it may be repeated, the route allows another
-    attempt, and the budget has room.
+    admitted and not answered is tried again only if it may be repeated and the route allows another
+    attempt. Whether the service has room for repeats is known beside its backend servers, see
+    `hoisthook.beside.repeat_limit`.
 
     Parameters
     ----------
@@ -159,38 +128,23 @@
         Chooses nodes.
     hop : Hop
         Sends.
-    directory : PeerDirectory
-        Tells by how many nodes the budget is shared.
-    settings : RetrySettings
-        The budget.
     clock : Clock
         Monotonic.
-    log : EventLog
-        Gets a line for each extra try.
     """
 
     def __init__(
         self,
         choice: PeerChoice,
         hop: Hop,
-        directory: PeerDirectory,
-        settings: RetrySettings,
         clock: Clock,
-        log: EventLog,
     ) -> None:
         self._choice = choice
         self._hop = hop
-        self._directory = directory
-        self._settings = settings
         self._clock = clock
-        self._log = log
-        self._budget_by_service: dict[ServiceName, WindowedRetryBudget] = {}
 
     async def dispatch(self, call: RoutedCall) -> Dispatched:
         """Run the request somewhere, or say what is known of it."""
-        now = self._clock.now()
-        self._budget(call.service).request(now)
-        suspect = self._choice.to_probe(call, now)
+        suspect = self._choice.to_probe(call, self._clock.now())
         if suspect is not None:
             self._hop.probe(suspect)
         progress = _Progress()
@@ -243,9 +197,11 @@
             progress.soonest = min(progress.soonest, outcome.retry_after)
             if outcome.code in _ARRIVED_CODES:
                 progress.rejected += 1
+                if call.arrival is Arrival.FIRST:
+                    call.arrival = Arrival.REDIRECTED
                 if outcome.code is ResultCode.BACKEND_SERVER_SHED:
                     progress.left_out.add(node)
-                return self._take_budget(call, outcome.code.number, RetryKind.REDIRECT)
+                return True
             if outcome.code not in _MAY_QUEUE_CODES:
                 progress.left_out.add(node)
             return outcome.code not in _FINAL_CODES
@@ -259,38 +215,18 @@
         if isinstance(outcome, Lost):
             progress.unknown = outcome
             return outcome.code is not ResultCode.DEADLINE_DURING_RUN and self._may_repeat(
-                call, progress, outcome.code.number
+                call, progress
             )
         if outcome.status not in FAILURE_STATUSES:
             return False
         progress.failed = outcome
-        return self._may_repeat(call, progress, outcome.status)
+        return self._may_repeat(call, progress)
 
-    def _may_repeat(self, call: RoutedCall, progress: _Progress, reason: int) -> bool:
+    def _may_repeat(self, call: RoutedCall, progress: _Progress) -> bool:
         if not call.repeatable or progress.ran + progress.unheard >= call.max_attempts:
             return False
-        if call.target_left(self._clock.now()) <= 0:
-            return False
-        return self._take_budget(call, reason, RetryKind.RERUN)
-
-    def _take_budget(self, call: RoutedCall, reason: int, kind: RetryKind) -> bool:
-        budget = self._budget(call.service)
-        now = self._clock.now()
-        taken = budget.take(now, kind)
-        usage = budget.usage(now)
-        self._log.decision(
-            "extra_try",
-            request=call.request_id,
-            reason=reason,
-            granted=taken,
-            service=call.service,
-            kind=kind.value,
-            tries=usage.tries,
-            requests=usage.requests,
-            allowed=round(usage.allowed, 2),
-            nodes=len(self._directory),
-        )
-        return taken
+        call.arrival = Arrival.RERUN
+        return call.target_left(self._clock.now()) > 0
 
     def _conclude(self, call: RoutedCall, progress: _Progress) -> Outcome:
         if progress.failed is not None:
@@ -303,22 +239,6 @@
             return Refused(ResultCode.NO_BACKEND_SERVER, NO_BACKEND_SERVER_RETRY_SECONDS)
         return Refused(progress.code, max(MIN_RETRY_AFTER_SECONDS, progress.soonest))
 
-    def _budget(self, service: ServiceName) -> WindowedRetryBudget:
-        ratio = OWN_SHARE_OF_BUDGET * self._settings.ratio
-        extra = OWN_SHARE_OF_BUDGET * self._settings.extra / max(1, len(self._directory))
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = WindowedRetryBudget(
-                ratio,
-                self._settings.window,
-                extra,
-                rerun_share=RERUN_SHARE_OF_BUDGET / OWN_SHARE_OF_BUDGET,
-                rounding=self._settings.rounding,
-            )
-            self._budget_by_service[service] = budget
-        budget.extra = extra
-        return budget
-
 
 def _is_worth_asking(view: PeerView, progress: _Progress) -> bool:
     return view.same_data_centre or len(progress.asked) < MAX_DIRECT_TRIES
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -218,6 +218,14 @@
         "Use another node.",
     )
 
+    RETRY_BUDGET_SPENT = CodeEntry(
+        2028,
+        503,
+        Ran.NOT_RUN,
+        "Its service has had as many repeats as operators allow.",
+        "Come back as told.",
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
--- a/src/hoisthook/teams/quota_ledger.py
+++ b/src/hoisthook/teams/quota_ledger.py
@@ -9,8 +9,8 @@
 
 from hoisthook.teams.ranked_window import MAX_KEPT_SHARE
 from hoisthook.teams.ranked_window import RankedWindow
-from hoisthook.teams.token_bucket import ROUNDING
-from hoisthook.teams.token_bucket import TokenBucket
+from hoisthook.token_bucket import ROUNDING
+from hoisthook.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/tests/beside/test_repeat_limit.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from hoisthook.beside.repeat_limit import MAX_CLOSED_SECONDS
+from hoisthook.beside.repeat_limit import RepeatLimit
+from hoisthook.identity import NodeId
+from hoisthook.identity import RequestId
+from hoisthook.result_code import ResultCode
+from hoisthook.retry.arrival import Arrival
+from hoisthook.retry.arrival_budget import RetrySettings
+from standin.mesh_system import ListLog
+from tests.fakes import FakeClock
+
+ME = NodeId("me")
+
+
+@dataclass
+class Nodes:
+    ids: list[NodeId] = field(default_factory=lambda: [ME])
+    is_whole: bool = True
+
+    @property
+    def digest(self) -> int:
+        return len(self.ids)
+
+    def beside_same_service(self) -> list[NodeId]:
+        return self.ids
+
+
+@dataclass
+class Request:
+    arrival: Arrival = Arrival.FIRST
+    request_id: RequestId = field(default=RequestId("r"))
+
+
+def limit(nodes: Nodes, clock: FakeClock, *, ratio: float = 0.0) -> RepeatLimit:
+    return RepeatLimit(ME, nodes, RetrySettings(ratio, 10.0, 40.0), clock, ListLog())
+
+
+def repeats(of: RepeatLimit, tries: int = 100) -> int:
+    again = Request(Arrival.REDIRECTED)
+    return sum(of.arrives(again) is None for _ in range(tries))
+
+
+def test_nothing_accrues_before_all_nodes_are_known() -> None:
+    clock = FakeClock()
+    nodes = Nodes(is_whole=False)
+    fresh = limit(nodes, clock)
+    fresh.arrives(Request())
+    clock.advance(100.0)
+    assert repeats(fresh) == 0
+    nodes.is_whole = True
+    fresh.arrives(Request())
+    clock.advance(100.0)
+    assert repeats(fresh) == 10
+
+
+def test_part_follows_the_nodes_of_the_service() -> None:
+    clock = FakeClock()
+    nodes = Nodes()
+    shared = limit(nodes, clock)
+    shared.arrives(Request())
+    clock.advance(100.0)
+    nodes.ids = [ME, *(NodeId(f"other-{number}") for number in range(3))]
+    assert repeats(shared) == 2
+
+
+def test_repeat_beyond_the_budget_is_refused_with_a_time_to_come_back() -> None:
+    clock = FakeClock()
+    spent = limit(Nodes(), clock)
+    refused = spent.refuse(Request(Arrival.REDIRECTED))
+    assert refused is not None
+    assert refused.code is ResultCode.RETRY_BUDGET_SPENT
+    assert 0.0 < refused.retry_after <= MAX_CLOSED_SECONDS
+    assert spent.refuse(Request()) is None
+
+
+def test_room_is_taken_where_a_repeat_arrives_not_where_it_is_asked_for() -> None:
+    clock = FakeClock()
+    saved = limit(Nodes(), clock)
+    saved.arrives(Request())
+    clock.advance(100.0)
+    for _ in range(100):
+        assert saved.refuse(Request(Arrival.REDIRECTED)) is None
+    assert repeats(saved) == 10
--- a/tests/teams/test_token_bucket.py
+++ b/tests/teams/test_token_bucket.py
@@ -10,9 +10,9 @@
 from hoisthook.teams.quota_ledger import Share
 from hoisthook.teams.quota_ledger import UnusedToken
 from hoisthook.teams.team import Quota
-from hoisthook.teams.token_bucket import TokenBucket
 from hoisthook.teams.window_count import ENTRY_SECONDS
 from hoisthook.teams.window_count import WindowCount
+from hoisthook.token_bucket import TokenBucket
 
 TEAM = TeamName("port")
 # A pause, how many tokens are asked for, and how long after it they come back, if they do.
