Calls of repeated runs are counted at the service they go to

Callers saw: a service that is called gets more repeats than operators allow for it while the services that call it repeat their own requests. Cause: calls of a run that is a repeat are repeats where they go; nobody counted them there. Mend: a call bears the chance that its maker is a repeat; the node beside counts it as that much of a repeat, whatever is left: turned away it would spoil the run that waits. Once more is owed than an eighth of its part it says so with its answers, and nodes whose runs made such calls admit no repeats for half a second. Why it works: what is owed is paid before the next redirect; what can be owed beyond is what repeats that run already still call.

--- a/src/hoisthook/admission/running_requests.py
+++ b/src/hoisthook/admission/running_requests.py
@@ -36,11 +36,14 @@
         Its route.
     priority : int
         Rank; 0 is the most urgent.
+    repeat : float
+        Chance that its run is a repeat: of an earlier try, or of the run that calls it.
     """
 
     request_id: RequestId
     route: RouteName
     priority: int
+    repeat: float = 0.0
 
 
 @dataclass(slots=True)
@@ -112,8 +115,18 @@
 
     def maker_of(self, route: RouteName) -> RunningRequest | None:
         """Return the most urgent request that may have made a call of a route, or None."""
-        makers = [request for request in self._running if self._makes(request.route, route)]
-        return min(makers, key=lambda request: request.priority, default=None)
+        return min(self._makers(route), key=lambda request: request.priority, default=None)
+
+    def repeated(self, route: RouteName) -> float:
+        """Return the chance that a request of a route is a call of a run that is a repeat.
+
+        All that run are taken for its maker alike where it is not known which routes make it.
+        """
+        makers = self._makers(route) or self._running
+        return sum(request.repeat for request in makers) / max(1, len(makers))
+
+    def _makers(self, route: RouteName) -> list[RunningRequest]:
+        return [request for request in self._running if self._makes(request.route, route)]
 
     def _makes(self, maker: RouteName, called: RouteName) -> bool:
         seen = self._seen_by_route.get(called)
--- a/src/hoisthook/beside/backend_exchange.py
+++ b/src/hoisthook/beside/backend_exchange.py
@@ -173,7 +173,7 @@
         added = self._wire.added_headers(
             BackendRequestHead(self._belief.instance, call.caller_service, time_left, call.team)
         )
-        running = RunningRequest(call.request_id, call.route, call.priority)
+        running = RunningRequest(call.request_id, call.route, call.priority, call.repeat)
         self._running.begin(running)
         try:
             return await exchange_whole(
--- a/src/hoisthook/beside/repeat_limit.py
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -21,6 +22,9 @@
 # Other nodes send no repeats for this long at most; requests that come meanwhile open sooner.
 MAX_CLOSED_SECONDS = 0.25
 MIN_CLOSED_SECONDS = 0.02
+# For how long no repeat begins that would make calls to a service that owes; its nodes tell again
+# with each answer.
+HELD_SECONDS = 0.5
 
 
 class ServiceNodes(Protocol):
@@ -44,6 +48,7 @@
     request_id: RequestId
     arrival: Arrival
     asked: float
+    by_repeat: float
 
 
 class RepeatLimit:
@@ -79,6 +84,7 @@
         self._budget = ArrivalBudget(settings, clock.now())
         self._shared_by = 0
         self._seen: tuple[int, bool] | None = None
+        self._held_until = -math.inf
 
     def refresh(self) -> None:
         """Divide the fixed number among the nodes that are known now; begins to accrue by it."""
@@ -97,10 +103,11 @@
         if not call.arrival.is_repeat:
             return None
         now = self._clock.now()
-        if self._budget.allows(call.arrival, now):
+        held = self._held_until - now
+        if held <= 0 and self._budget.allows(call.arrival, now):
             return None
         self._tell(call, now, granted=False)
-        opens_in = self._budget.opens_in(call.arrival, now)
+        opens_in = max(held, self._budget.opens_in(call.arrival, now))
         retry_after = min(MAX_CLOSED_SECONDS, max(MIN_CLOSED_SECONDS, opens_in))
         return Refused(ResultCode.RETRY_BUDGET_SPENT, retry_after)
 
@@ -113,10 +120,26 @@
         self._budget.arrived(call.arrival, now)
         if call.arrival is Arrival.FIRST:
             self._budget.requested(call.asked, now)
+            self._budget.called(call.by_repeat, now)
         else:
             self._tell(call, now, granted=True)
         return None
 
+    @property
+    def owes(self) -> bool:
+        """Return whether calls of repeated runs have taken more than is left for them."""
+        return self._budget.owes(self._clock.now())
+
+    def called_owes(self, call: Try) -> None:
+        """Take in that the service that a call went to owes.
+
+        Load pattern: a service turns work away, its repeats run, and each makes two calls to a
+        service that has less room for repeats than its own. They are refused here, before they
+        run: refused there, they would have run in vain.
+        """
+        if call.by_repeat > 0:
+            self._held_until = self._clock.now() + HELD_SECONDS
+
     def _tell(self, call: Try, now: float, *, granted: bool) -> None:
         self._log.decision(
             "extra_try",
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -116,7 +116,7 @@
         budget = MeasureBudget(READS_PER_SECOND, clock.now())
         self.admitter = Admitter(self._speed, self.reader, budget, USABLE_SHARE, clock)
         self.admitter.has_slots(server.slots)
-        self.hop = ModelledHop(system, clock)
+        self.hop = ModelledHop(self, system, clock)
         self.running = RunningRequests(clock)
         self.begin()
 
@@ -146,7 +146,14 @@
     def load(self) -> BesideLoad:
         """Return what the node tells others."""
         gate = self.admitter.gate
-        return BesideLoad(gate.running, gate.waiting, gate.limit, self._speed.slowdown, 0.0)
+        return BesideLoad(
+            gate.running,
+            gate.waiting,
+            gate.limit,
+            self._speed.slowdown,
+            0.0,
+            owes_repeats=self.repeats.owes,
+        )
 
     async def run(self, call: RoutedCall, admission: Admission) -> Outcome:
         """Run a request beside this node as a node does."""
@@ -178,7 +185,7 @@
             refused = self.repeats.arrives(call)
             if refused is not None:
                 return refused
-            running = RunningRequest(call.request_id, call.route, call.priority)
+            running = RunningRequest(call.request_id, call.route, call.priority, call.repeat)
             beside = self.running
             beside.begin(running)
             try:
@@ -216,7 +223,8 @@
 class ModelledHop:
     """Takes a request to a node and its answer back."""
 
-    def __init__(self, system: ModelledSystem, clock: Clock) -> None:
+    def __init__(self, node: ModelledNode, system: ModelledSystem, clock: Clock) -> None:
+        self._node = node
         self._system = system
         self._clock = clock
         self._probes = BackgroundTasks()
@@ -235,7 +243,10 @@
         finally:
             view.ended()
         now = self._clock.now()
-        view.reported(node.load(), now)
+        load = node.load()
+        view.reported(load, now)
+        if load.owes_repeats:
+            self._node.repeats.called_owes(call)
         if isinstance(outcome, Refused) and outcome.code is ResultCode.UNREACHABLE:
             view.close_until(now + outcome.retry_after)
         elif isinstance(outcome, Refused) and outcome.code is ResultCode.RETRY_BUDGET_SPENT:
@@ -333,6 +344,7 @@
             repeatable=route.repeatable,
             max_attempts=2,
             asked=entry.running.callers_weight(),
+            by_repeat=entry.running.repeated(route.name),
         )
         try:
             async with asyncio.timeout(time_left):
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -80,6 +80,8 @@
     ----------
     running : RunningRequests
         What runs there, by which its calls are told.
+    repeats : RepeatLimit
+        Told of each arrival; refuses.
     leaving : bool
         Whether only what no other node can start is admitted.
     stopping : bool
@@ -121,7 +123,7 @@
             self.gate.cold.bound(0)
         self._settings = settings
         self._crashes = crashes
-        self._repeats = repeats
+        self.repeats = repeats
         self.ends.on_ended(crashes.ended)
         self._lines = AdmissionLines(self.gate, self._speed, self.belief, clock, log)
         self.leaving = False
@@ -172,6 +174,7 @@
             limit=self.gate.limit,
             slowdown=self._speed.slowdown,
             failing=self.belief.failing,
+            owes_repeats=self.repeats.owes,
         )
 
     async def run(
@@ -238,7 +241,7 @@
             return Refused(ResultCode.UNREACHABLE, belief.closed_until - now)
         if call.time_left(now) <= 0:
             return Refused(ResultCode.DEADLINE_PASSED, 0.0)
-        refused = self._crashes.refuse(call) or self._repeats.refuse(call)
+        refused = self._crashes.refuse(call) or self.repeats.refuse(call)
         if refused is not None:
             return refused
         return _refusal(self._admitter.rule(demand, may_wait=may_wait))
@@ -254,7 +257,7 @@
             return Refused(ResultCode.DATA_CENTRE_EVACUATED, EVACUATED_RETRY_SECONDS)
         if not self.belief.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
-        return self._crashes.refuse(call) or self._repeats.arrives(call)
+        return self._crashes.refuse(call) or self.repeats.arrives(call)
 
     def _demand(self, call: RoutedCall) -> Demand:
         return self._admitter.demand(
--- a/src/hoisthook/mesh/beside_load.py
+++ b/src/hoisthook/mesh/beside_load.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-FIELDS = 6
+FIELDS = 7
 PERCENT = 100.0
 
 
@@ -26,6 +26,8 @@
         Share of recent answers that failed, 0 to 1.
     configuration : int
         Version in force at the node; -1 for none.
+    owes_repeats : bool
+        Whether calls of repeated runs have used up more than is left there for repeats.
     """
 
     running: int
@@ -34,18 +36,20 @@
     slowdown: float
     failing: float
     configuration: int = -1
+    owes_repeats: bool = False
 
     def encode(self) -> bytes:
         """Return the header's value; shares and factors in per cent."""
         slowdown = round(self.slowdown * PERCENT)
         failing = round(self.failing * PERCENT)
-        return b"%d %d %d %d %d %d" % (
+        return b"%d %d %d %d %d %d %d" % (
             self.running,
             self.waiting,
             self.limit,
             slowdown,
             failing,
             self.configuration + 1,
+            self.owes_repeats,
         )
 
     @classmethod
@@ -54,5 +58,7 @@
         parts = value.split()
         if len(parts) != FIELDS or not all(part.isdigit() for part in parts):
             return None
-        running, waiting, limit, slowdown, failing, version = (int(part) for part in parts)
-        return cls(running, waiting, limit, slowdown / PERCENT, failing / PERCENT, version - 1)
+        running, waiting, limit, slowdown, failing, version, owes = (int(part) for part in parts)
+        return cls(
+            running, waiting, limit, slowdown / PERCENT, failing / PERCENT, version - 1, owes > 0
+        )
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -251,6 +251,7 @@
             repeatable=route.repeatable,
             max_attempts=route.max_attempts,
             asked=self._beside.callers_weight(),
+            by_repeat=self._beside.repeated(route.name),
         )
 
     def _turn_away(
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -22,9 +22,9 @@
 RESULT = b"hoisthook-result"
 RETRY_AFTER_MS = b"hoisthook-retry-after-ms"
 WAIT_MS = b"hoisthook-wait-ms"
-FIELDS = 11
+FIELDS = 12
 # The last one is left out where no team asks.
-FIELDS_WITH_TEAM = 12
+FIELDS_WITH_TEAM = 13
 MILLIS = 1000.0
 PERCENT = 100.0
 
@@ -82,6 +82,8 @@
         What is known of its earlier tries.
     asked : float
         How many requests of callers it stands for.
+    by_repeat : float
+        Chance that it is a call of a run that is a repeat itself.
     """
 
     service: ServiceName
@@ -96,6 +98,7 @@
     team: TeamName | None = None
     arrival: Arrival = Arrival.FIRST
     asked: float = 0.0
+    by_repeat: float = 0.0
 
     def encode(self) -> bytes:
         """Return the header's value; times in whole milliseconds."""
@@ -111,6 +114,7 @@
             str(self.configuration),
             self.arrival.value,
             str(round(self.asked * PERCENT)),
+            str(round(self.by_repeat * PERCENT)),
         ]
         if self.team is not None:
             parts.append(quote(self.team, safe=""))
@@ -135,7 +139,8 @@
                 configuration=int(parts[8]),
                 arrival=Arrival(parts[9]),
                 asked=int(parts[10]) / PERCENT,
-                team=TeamName(unquote(parts[11])) if len(parts) == FIELDS_WITH_TEAM else None,
+                by_repeat=int(parts[11]) / PERCENT,
+                team=TeamName(unquote(parts[12])) if len(parts) == FIELDS_WITH_TEAM else None,
             )
         except ValueError:
             return None
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -141,6 +141,7 @@
         team=header.team,
         arrival=header.arrival,
         asked=header.asked,
+        by_repeat=header.by_repeat,
         repeatable=False,
         max_attempts=1,
     )
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -151,6 +151,7 @@
             team=call.team,
             arrival=call.arrival,
             asked=call.asked,
+            by_repeat=call.by_repeat,
         )
         exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
         silence = LEAVING_SILENCE_SECONDS if self.leaving and not call.held_back else 0.0
@@ -162,7 +163,7 @@
             return answered
         self._pool.keep(view.address, connection)
         head, body = answered
-        return self._read(view, head, body)
+        return self._read(view, call, head, body)
 
     async def _connect(self, view: PeerView) -> ClientConnection | Refused:
         connection = self._pool.take_idle(view.address)
@@ -201,11 +202,13 @@
                 "hop_silent", request=call.request_id, peer=peer, code=lost.code.number
             )
 
-    def _read(self, view: PeerView, head: AnswerHead, body: bytes) -> Outcome:
+    def _read(self, view: PeerView, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
         load = BesideLoad.decode(head.get(hop_header.LOAD) or b"")
         if load is not None:
             view.reported(load, self._clock.now())
             self._sync.heard(view.address, load.configuration)
+            if load.owes_repeats:
+                self._beside.repeats.called_owes(call)
         result = head.get(hop_header.RESULT)
         if result is None:
             if load is None:
--- a/src/hoisthook/mesh/routed_call.py
+++ b/src/hoisthook/mesh/routed_call.py
@@ -58,6 +58,8 @@
         What is known of its earlier tries.
     asked : float
         How many requests of callers it stands for; 0 where it may be a call of a run.
+    by_repeat : float
+        Chance that it is a call of a run that is a repeat itself.
     held_back : bool
         Whether its end is sent only to a node that has asked for it, so that it runs nowhere
         else.
@@ -84,6 +86,7 @@
     made_by: RequestId | None = None
     arrival: Arrival = Arrival.FIRST
     asked: float = 0.0
+    by_repeat: float = 0.0
     held_back: bool = False
     is_whole: bool = True
 
@@ -96,6 +99,11 @@
         """Return what it asks for; the same whenever and under whatever id it comes."""
         return identify(self.method, self.headers, self.target, self.body)
 
+    @property
+    def repeat(self) -> float:
+        """Return the chance that its run is a repeat, whose calls are repeats where they go."""
+        return 1.0 if self.arrival.is_repeat else self.by_repeat
+
     def time_left(self, now: float) -> float:
         """Return the seconds until the deadline."""
         return self.deadline - now
--- a/src/hoisthook/retry/arrival_budget.py
+++ b/src/hoisthook/retry/arrival_budget.py
@@ -18,7 +18,9 @@
 # Of a node's part of the fixed number: what can be saved up, and what accrues in a window.
 SAVED_SHARE = 0.25
 ACCRUED_SHARE = 0.5
-# Of both, for reruns.
+# What calls of repeated runs may use beyond that before the runs that make them are held.
+OWED_SHARE = 0.125
+# Of what is saved up and accrues, for reruns.
 RERUN_SHARE = 0.2
 # Tokens below which a node's part cannot be saved up and spent whole.
 MIN_PART = 2.0
@@ -97,6 +99,24 @@
         for bucket in self._needed(arrival):
             bucket.take(TRY, now)
 
+    def called(self, repeat: float, now: float) -> None:
+        """Take what a call costs that may be made by a repeated run, whatever is left.
+
+        Turned away, it would spoil the run that waits for it.
+
+        Parameters
+        ----------
+        repeat : float
+            Chance that the run is a repeat.
+        now : float
+            The moment.
+        """
+        self._all.take(TRY * repeat, now)
+
+    def owes(self, now: float) -> bool:
+        """Return whether calls of repeated runs have taken more than is left for them."""
+        return self._all.level(now) < -OWED_SHARE * self.part
+
     def opens_in(self, arrival: Arrival, now: float) -> float:
         """Return the seconds until a try may arrive, without requests that come meanwhile."""
         return max((bucket.seconds_to(TRY, now) for bucket in self._needed(arrival)), default=0.0)
--- a/tests/admission/test_running_requests.py
+++ b/tests/admission/test_running_requests.py
@@ -90,3 +90,19 @@
     verify = running(VERIFY, 1)
     beside.begin(verify)
     assert beside.maker_of(LOOKUP) is verify
+
+
+def test_call_is_by_a_repeat_as_likely_as_what_may_have_made_it_is_one() -> None:
+    beside = RunningRequests(FakeClock())
+    assert beside.repeated(LOOKUP) == 0.0
+    for repeat in (1.0, 0.5, 0.0, 0.0):
+        beside.begin(RunningRequest(RequestId("r"), REGISTER, 0, repeat))
+    assert beside.repeated(LOOKUP) == 0.375
+
+
+def test_what_does_not_make_a_call_says_nothing_of_it() -> None:
+    beside = RunningRequests(FakeClock())
+    learn(beside)
+    beside.begin(RunningRequest(RequestId("again"), REGISTER, 0, 1.0))
+    beside.begin(running(VERIFY, 0))
+    assert beside.repeated(LOOKUP) == 1.0
--- a/tests/beside/test_repeat_limit.py
+++ b/tests/beside/test_repeat_limit.py
@@ -33,6 +33,7 @@
 class Request:
     arrival: Arrival = Arrival.FIRST
     asked: float = 1.0
+    by_repeat: float = 0.0
     request_id: RequestId = field(default=RequestId("r"))
 
 
@@ -86,3 +87,23 @@
     for _ in range(100):
         assert saved.refuse(Request(Arrival.REDIRECTED)) is None
     assert repeats(saved) == 10
+
+
+def test_repeats_are_held_where_a_service_that_they_call_owes() -> None:
+    clock = FakeClock()
+    called = limit(Nodes(), clock)
+    called.arrives(Request())
+    for _ in range(10):
+        called.arrives(Request(by_repeat=1.0))
+    assert called.owes
+    caller = limit(Nodes(), clock)
+    caller.arrives(Request())
+    clock.advance(100.0)
+    caller.called_owes(Request())
+    assert caller.refuse(Request(Arrival.REDIRECTED)) is None
+    caller.called_owes(Request(by_repeat=0.1))
+    assert caller.refuse(Request(Arrival.REDIRECTED)) is not None
+    assert caller.refuse(Request()) is None
+    clock.advance(1.0)
+    assert caller.refuse(Request(Arrival.REDIRECTED)) is None
+    assert not called.owes
--- a/tests/experiment/test_retry_budget.py
+++ b/tests/experiment/test_retry_budget.py
@@ -21,7 +21,13 @@
 SERIES = [3.0 + 1.2 * number for number in range(8)]
 
 
-def pattern(*troubles: Trouble, retries: int = 1, reads: float = 116.0) -> LoadPattern:
+def pattern(
+    *troubles: Trouble,
+    retries: int = 1,
+    reads: float = 116.0,
+    redeems: float = 40.0,
+    call_share: float = 0.7,
+) -> LoadPattern:
     """Return 13 nodes of three services; requests of the first make calls to the second."""
     services = [
         ServiceTraits(READS, 6),
@@ -36,10 +42,10 @@
         0.6,
         1.2,
         calls=RouteName("profile"),
-        call_share=0.7,
+        call_share=call_share,
         retries=retries,
     )
-    redeem = RouteTraits(RouteName("redeem"), DESK, 40.0, 0.29, 0.8, 1.5, repeatable=False)
+    redeem = RouteTraits(RouteName("redeem"), DESK, redeems, 0.29, 0.8, 1.5, repeatable=False)
     profile = RouteTraits(RouteName("profile"), DESK, 0.0, 0.055, 0.15, 0.6)
     return LoadPattern("budget", 16.0, services, [read, redeem, profile], list(troubles))
 
@@ -84,3 +90,13 @@
         reads=40.0,
     )
     assert_kept(load, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_calls_of_repeats_stay_within_the_budget_of_the_service_that_is_called(seed: int) -> None:
+    load = pattern(
+        Trouble(Befall.SHEDS, 2.0, 12.0, strength=0.4, service=READS),
+        redeems=4.0,
+        call_share=1.0,
+    )
+    assert_kept(load, seed)
