What was given up at a silent node is counted, and a node that was silent is sent nothing whole

Suspected, not reproduced: a repeatable request that was given up at a silent node runs elsewhere for nothing, though it may arrive there when the node wakes or the packet is sent again. Ruled out: counting each loss before admission. Change: a node that was silent, or is suspected by others, is sent requests held back for 10 s: what it has not asked for never arrives and goes elsewhere for nothing. Only what it was silent on before counts as a repeat, and may be owed to a quarter of the node's part, so it is not refused where redirects are.

--- a/src/hoisthook/experiment/load_pattern.py
+++ b/src/hoisthook/experiment/load_pattern.py
@@ -37,6 +37,9 @@
     RETRIES = "retries"
     """Callers repeat what fails ``strength`` times, at once."""
 
+    SILENT = "silent"
+    """Nodes answer nothing; what is sent to them meanwhile arrives when that ends."""
+
     NODE_STARTS = "node_starts"
     """Nodes start anew and know nothing of before; until it ends they know a few others only."""
 
--- a/src/hoisthook/experiment/modelled_server.py
+++ b/src/hoisthook/experiment/modelled_server.py
@@ -83,6 +83,11 @@
         """Return whether it and its node are gone without a word."""
         return self._under(Befall.GONE) is not None
 
+    def silent_until(self) -> float:
+        """Return until when its node answers nothing; 0 if it does answer."""
+        silent = self._under(Befall.SILENT)
+        return silent.at + silent.lasts if silent is not None else 0.0
+
     async def run(self, route: RouteTraits) -> Ended:
         """Run a request."""
         sheds = self._under(Befall.SHEDS)
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,8 @@
 from hoisthook.identity import NodeId
 from hoisthook.identity import RequestId
 from hoisthook.measure.measure_budget import MeasureBudget
+from hoisthook.mesh.admitted_exchange import ADMISSION_SECONDS
+from hoisthook.mesh.admitted_exchange import SILENT_RETRY_SECONDS
 from hoisthook.mesh.beside_load import BesideLoad
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import WholeAnswer
@@ -234,6 +237,8 @@
         node = self._system.node_by_id[view.peer.node]
         if node.server.is_gone():
             return await self._connect_in_vain(view)
+        if node.server.silent_until() > self._clock.now() and not view.is_self:
+            return await self._wait_in_vain(view, call, node)
         way = 0.0 if view.is_self else HOP_SECONDS
         view.sent()
         try:
@@ -268,6 +273,25 @@
         else:
             view.connected()
 
+    async def _wait_in_vain(
+        self, view: PeerView, call: RoutedCall, node: ModelledNode
+    ) -> Lost | Refused:
+        """Give up a node that is silent; it still sends on what is whole when it wakes."""
+        held_back = call.held_back or view.may_be_silent(self._clock.now())
+        if not held_back:
+            self._probes.start(self._arrive_late(dataclasses.replace(call), node))
+        await asyncio.sleep(ADMISSION_SECONDS)
+        view.silent(self._clock.now())
+        view.unreachable(self._clock.now())
+        if held_back:
+            return Refused(ResultCode.NODE_SILENT, SILENT_RETRY_SECONDS)
+        return Lost(ResultCode.ANSWER_LOST, admitted=False, is_silent=True)
+
+    async def _arrive_late(self, call: RoutedCall, node: ModelledNode) -> None:
+        await asyncio.sleep(node.server.silent_until() - self._clock.now())
+        if node.repeats.arrives(call) is None:
+            self._system.arrived(call)
+
     async def _connect_in_vain(self, view: PeerView) -> Refused:
         await asyncio.sleep(CONNECT_SECONDS)
         self._system.tally.unanswered += 1
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -47,14 +47,22 @@
         What to run.
     hop : Header
         What the other node must know besides.
+    held_back : bool
+        Whether its end is sent only when the other node asks for it.
     """
 
     def __init__(
-        self, connection: ClientConnection, call: RoutedCall, hop: tuple[bytes, bytes]
+        self,
+        connection: ClientConnection,
+        call: RoutedCall,
+        hop: tuple[bytes, bytes],
+        *,
+        held_back: bool,
     ) -> None:
         self._connection = connection
         self._call = call
         self._hop = hop
+        self._held_back = held_back
         self._admitted = False
 
     async def run(
@@ -78,10 +86,10 @@
                 return await self._exchange(silence)
         except TimeoutError:
             self._connection.close()
-            return self._lost(ResultCode.DEADLINE_DURING_RUN)
+            return self._lost(ResultCode.DEADLINE_DURING_RUN, is_silent=True)
         except BrokenExchangeError:
             self._connection.close()
-            return self._lost(ResultCode.ANSWER_LOST)
+            return self._lost(ResultCode.ANSWER_LOST, is_silent=False)
         except asyncio.CancelledError:
             self._connection.close()
             raise
@@ -91,7 +99,7 @@
         call = self._call
         answer = connection.send(self._first_bytes(), bodyless_answer=call.method == b"HEAD")
         self._admitted = await self._hear(silence)
-        if call.held_back:
+        if self._held_back:
             connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
         head = await answer
         return head, await read_whole(connection)
@@ -118,7 +126,7 @@
     def _first_bytes(self) -> bytes:
         call = self._call
         headers = [*call.headers, self._hop, (b"expect", b"100-continue")]
-        if call.held_back:
+        if self._held_back:
             headers.append((b"transfer-encoding", b"chunked"))
             return encode_request_head(call.method, call.target, headers)
         if call.body or call.method not in BODYLESS_METHODS:
@@ -129,9 +137,9 @@
         body = self._call.body
         return encode_chunk(body) + LAST_CHUNK if body else LAST_CHUNK
 
-    def _lost(self, code: ResultCode) -> Refused | Lost:
+    def _lost(self, code: ResultCode, *, is_silent: bool) -> Refused | Lost:
         if self._admitted:
             return Lost(code)
-        if not self._call.held_back:
-            return Lost(ResultCode.ANSWER_LOST, admitted=False)
+        if not self._held_back:
+            return Lost(ResultCode.ANSWER_LOST, admitted=False, is_silent=is_silent)
         return Refused(ResultCode.NODE_SILENT, SILENT_RETRY_SECONDS)
--- a/src/hoisthook/mesh/peer.py
+++ b/src/hoisthook/mesh/peer.py
@@ -29,6 +29,8 @@
 # What this node has heard itself within this time counts for more than what others found: their
 # findings are up to two questions old.
 FRESHER_THAN_HEARSAY_SECONDS = 1.5
+# For how long a node that was silent is sent nothing whole that it has not asked for.
+DOUBT_SECONDS = 10.0
 FIRST_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 4.0
 
@@ -89,6 +91,7 @@
         self.load: BesideLoad | None = None
         self.load_at = -math.inf
         self._sent_since = 0
+        self._silent_at = -math.inf
         self._away_seconds = 0.0
         self._backoff = FIRST_BACKOFF_SECONDS
 
@@ -117,6 +120,7 @@
         """Suspect the peer on the word of others, unless it has just reported."""
         if self.age(now) > FRESHER_THAN_HEARSAY_SECONDS:
             self.suspected = True
+            self._silent_at = now
 
     def unreachable(self, now: float) -> float:
         """Suspect the peer, to be probed after a while that doubles; return the seconds."""
@@ -137,6 +141,20 @@
         self.close_until(now + seconds)
         self._away_seconds = min(MAX_BACKOFF_SECONDS, seconds * 2)
 
+    def silent(self, now: float) -> None:
+        """Note that the peer did not say whether it runs a request."""
+        self._silent_at = now
+
+    def may_be_silent(self, now: float) -> bool:
+        """Return whether what is sent there had better be held back until the peer asks for it.
+
+        Load pattern: nodes pause in series, or packets get lost. What was given up at a silent
+        node may arrive there when another has run it already. A node that was silent is likely
+        to be so again; what it has not asked for never arrives, and may go elsewhere for nothing.
+        The price is one more way there and back.
+        """
+        return now - self._silent_at < DOUBT_SECONDS
+
     def served(self) -> None:
         """Note that the peer's backend server answered a request."""
         self._away_seconds = 0.0
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -153,8 +153,11 @@
             asked=call.asked,
             by_repeat=call.by_repeat,
         )
-        exchange = AdmittedExchange(connection, call, (hop_header.HOP, header.encode()))
-        silence = LEAVING_SILENCE_SECONDS if self.leaving and not call.held_back else 0.0
+        held_back = call.held_back or view.may_be_silent(now)
+        exchange = AdmittedExchange(
+            connection, call, (hop_header.HOP, header.encode()), held_back=held_back
+        )
+        silence = LEAVING_SILENCE_SECONDS if self.leaving and not held_back else 0.0
         answered = await exchange.run(
             target_left=header.target_left, timeout=header.time_left, min_silence=silence
         )
@@ -183,6 +186,8 @@
             return Refused(ResultCode.UNREACHABLE, seconds)
 
     def _note_lost(self, view: PeerView, call: RoutedCall, lost: Lost | Refused) -> None:
+        if isinstance(lost, Refused) or lost.is_silent:
+            view.silent(self._clock.now())
         if lost.code is not ResultCode.DEADLINE_DURING_RUN:
             view.unreachable(self._clock.now())
             self._directory.findings.note(view.peer.node, self._clock.now(), reached=False)
@@ -196,6 +201,7 @@
                 peer=peer,
                 code=lost.code.number,
                 admitted=lost.admitted,
+                silent=lost.is_silent,
             )
         else:
             self._log.decision(
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -197,7 +197,7 @@
             progress.soonest = min(progress.soonest, outcome.retry_after)
             if outcome.code in _ARRIVED_CODES:
                 progress.rejected += 1
-                if call.arrival is Arrival.FIRST:
+                if call.arrival is not Arrival.RERUN:
                     call.arrival = Arrival.REDIRECTED
                 if outcome.code is ResultCode.BACKEND_SERVER_SHED:
                     progress.left_out.add(node)
@@ -209,6 +209,8 @@
         if isinstance(outcome, Lost) and not outcome.admitted:
             progress.unknown = outcome
             progress.unheard += 1
+            if outcome.is_silent and call.arrival is Arrival.FIRST:
+                call.arrival = Arrival.UNHEARD
             call.held_back = progress.unheard + 1 >= call.max_attempts
             return call.target_left(self._clock.now()) > 0
         progress.ran += 1
--- a/src/hoisthook/node/call.py
+++ b/src/hoisthook/node/call.py
@@ -106,7 +106,11 @@
         Whether the node beside the backend server may have begun to run it: false where that
         node was silent, or its connection broke, before it had said that it does. It can have
         run only if that word was on its way.
+    is_silent : bool
+        Whether that node was silent on a connection that held, so that it may still begin to run
+        it: it may have been paused, or the request be on its way.
     """
 
     code: ResultCode
     admitted: bool = True
+    is_silent: bool = False
--- a/src/hoisthook/retry/arrival.py
+++ b/src/hoisthook/retry/arrival.py
@@ -11,6 +11,9 @@
     FIRST = "f"
     """No backend server has got the request before."""
 
+    UNHEARD = "u"
+    """It was sent to a node that was silent, and may arrive there yet."""
+
     REDIRECTED = "a"
     """A backend server has rejected it, and it has not run."""
 
--- a/src/hoisthook/retry/arrival_budget.py
+++ b/src/hoisthook/retry/arrival_budget.py
@@ -20,6 +20,8 @@
 ACCRUED_SHARE = 0.5
 # What calls of repeated runs may use beyond that before the runs that make them are held.
 OWED_SHARE = 0.125
+# What tries may use beyond it whose first was given up at a silent node.
+UNHEARD_SHARE = 0.25
 # Of what is saved up and accrues, for reruns.
 RERUN_SHARE = 0.2
 # Tokens below which a node's part cannot be saved up and spent whole.
@@ -92,7 +94,8 @@
 
     def allows(self, arrival: Arrival, now: float) -> bool:
         """Return whether a try may arrive."""
-        return all(bucket.level(now) >= TRY - ROUNDING for bucket in self._needed(arrival))
+        floor = self._floor(arrival)
+        return all(bucket.level(now) >= floor - ROUNDING for bucket in self._needed(arrival))
 
     def arrived(self, arrival: Arrival, now: float) -> None:
         """Take what a try costs."""
@@ -119,17 +122,25 @@
 
     def opens_in(self, arrival: Arrival, now: float) -> float:
         """Return the seconds until a try may arrive, without requests that come meanwhile."""
-        return max((bucket.seconds_to(TRY, now) for bucket in self._needed(arrival)), default=0.0)
+        floor = self._floor(arrival)
+        return max((bucket.seconds_to(floor, now) for bucket in self._needed(arrival)), default=0.0)
 
     def level(self, now: float) -> float:
         """Return the tokens that are left."""
         return self._all.level(now)
 
+    def _floor(self, arrival: Arrival) -> float:
+        """Return the level from which on a try may arrive.
+
+        Most of what is given up at a silent node never arrives there: it may be owed.
+        """
+        return -UNHEARD_SHARE * self.part if arrival is Arrival.UNHEARD else TRY
+
     def _needed(self, arrival: Arrival) -> tuple[TokenBucket, ...]:
         match arrival:
             case Arrival.FIRST:
                 return ()
-            case Arrival.REDIRECTED:
+            case Arrival.UNHEARD | Arrival.REDIRECTED:
                 return (self._all,)
             case Arrival.RERUN:
                 return (self._all, self._reruns)
