--- a/standin/soak.py
+++ b/standin/soak.py
@@ -1,6 +1,6 @@
 """Runs real nodes under random faults and checks what callers and backend servers see.
 
-Usage: python -m standin.soak [--seed N] [--seeds COUNT] [--seconds S] [--crashing]
+Usage: python -m standin.soak [--seed N] [--seeds COUNT] [--seconds S] [--crashing] [--rejecting]
 
 Prints a line a seed; status 1 if a promise was broken. Faults come from outside the
 nodes: signals, proxies between nodes and to the store, outages of the store, drains and
@@ -37,6 +37,8 @@
 from standin.soak_crashes import CrashingCaller
 from standin.soak_load import Findings
 from standin.soak_load import SoakLoad
+from standin.soak_repeats import RejectingService
+from standin.soak_repeats import check_repeats
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -66,9 +68,13 @@
         How long faults go on.
     crashing : bool
         Whether a request that ends backend servers comes again all the time besides.
+    rejecting : bool
+        Whether a service turns work away, and nodes are killed in series, all the time besides.
     """
 
-    def __init__(self, seed: int, seconds: float, *, crashing: bool = False) -> None:
+    def __init__(
+        self, seed: int, seconds: float, *, crashing: bool = False, rejecting: bool = False
+    ) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
         self._version = 1
@@ -80,6 +86,9 @@
         self._load = SoakLoad(self.cluster, self._random, self.findings)
         self._crashing: CrashingCaller | None = None
         self._work_seconds = WORK_SECONDS
+        self._rejecting: RejectingService | None = None
+        if rejecting:
+            self._rejecting = RejectingService(self.cluster, self._start_again, seed)
         if crashing:
             self._work_seconds = WORK_BESIDE_CRASHES_SECONDS
             self._crashing = CrashingCaller(self.cluster, self._load, seed, self.findings)
@@ -91,8 +100,11 @@
             await self.cluster.start()
             if self._crashing is not None:
                 self._crashing.start(self._work_seconds)
+            if self._rejecting is not None:
+                self._rejecting.start()
             await asyncio.gather(self._load.run(), self._trouble())
             self._check_runs()
+            check_repeats(self.cluster, self._load, self.findings)
             if self._crashing is not None:
                 self._crashing.check()
         finally:
@@ -157,6 +169,8 @@
             running.add(asyncio.ensure_future(kind()))
             await asyncio.sleep(self._random.random() * 2 * FAULT_GAP_SECONDS)
         await asyncio.gather(*running)
+        if self._rejecting is not None:
+            await self._rejecting.stop()
         self._heal()
         await self._check_recovery()
         self._load.stopped = True
@@ -299,17 +313,24 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many, counting up")
     parser.add_argument("--seconds", type=float, default=10.0, help="how long faults go on")
     parser.add_argument("--crashing", action="store_true", help="with work that ends servers")
+    parser.add_argument("--rejecting", action="store_true", help="with kills in series")
     arguments = parser.parse_args()
     # Ended from outside, it still ends its processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        soak = Soak(seed, arguments.seconds, crashing=arguments.crashing)
+        soak = Soak(
+            seed,
+            arguments.seconds,
+            crashing=arguments.crashing,
+            rejecting=arguments.rejecting,
+        )
         findings = asyncio.run(soak.run())
         verdict = "; ".join(findings.broken[:5]) or "kept"
         sys.stdout.write(
             f"seed {seed}: {verdict}; answers {dict(findings.statuses)}"
-            f" faults {sum(findings.faults.values())}; logs {soak.cluster.folder}\n"
+            f" faults {sum(findings.faults.values())} repeats {findings.repeats};"
+            f" logs {soak.cluster.folder}\n"
         )
         sys.stdout.flush()
         failed += bool(findings.broken)
--- a/standin/soak_load.py
+++ b/standin/soak_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
@@ -39,6 +40,8 @@
     promised: set[str] = field(default_factory=set)
     broken: list[str] = field(default_factory=list)
     faults: Counter[str] = field(default_factory=Counter)
+    # In the fullest window of any service.
+    repeats: int = 0
 
 
 class SoakLoad:
@@ -60,6 +63,7 @@
         self._findings = findings
         self._services = sorted(cluster.deployment.count_by_service)
         self._sent = 0
+        self.requested: list[tuple[str, float]] = []
         self.stopped = False
 
     async def run(self) -> None:
@@ -83,6 +87,7 @@
     async def send(self, place: MeshPlace, service: str, path: str) -> int:
         """Send a request through a node; return its status, 0 for none."""
         self._sent += 1
+        self.requested.append((service, time.monotonic()))
         name = f"q{self._sent}"
         method = b"POST" if path.startswith("/write/") else b"GET"
         headers = [
@@ -124,6 +129,7 @@
             (b"x-deadline-ms", b"1000"),
         ]
         self._sent += 1
+        self.requested.append((service, time.monotonic()))
         try:
             connection = await self._cluster.pool.acquire(parse_address(place.callers), 0.5)
         except UnreachableError:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 
 
 CRASHING_SEEDS = [1, 2]
+REJECTING_SEEDS = [1, 2]
 
 
 @pytest.mark.parametrize("seed", CRASHING_SEEDS)
@@ -31,3 +32,10 @@
     findings = await Soak(seed, SHORT_SECONDS).run()
     assert findings.broken == []
     assert findings.statuses[200] > 0
+
+
+@pytest.mark.parametrize("seed", REJECTING_SEEDS)
+async def test_repeats_stay_within_their_budget_while_nodes_are_killed_in_series(seed: int) -> None:
+    findings = await Soak(seed, 8.0, rejecting=True).run()
+    assert findings.broken == []
+    assert findings.statuses[200] > 0
