Callers' requests are told from calls by route, from what ran wherever they began

Callers saw, since calls count for nothing: fewer second tries than operators allow. Cause: a request counted only if nothing ran beside where it began, at most as 8; where six run in the mean that is next to never, and a young process counts none. Change: a request bears the share of idle time where it began and whether it was such; beside the backend server both are added up by route, so the nodes that are often idle tell for those that never are, what is known holds under overload, and a node that starts needs none of it. A backend server that says that it runs nothing ends the wait for a predecessor's runs.

--- a/src/hoisthook/admission/running_requests.py
+++ b/src/hoisthook/admission/running_requests.py
@@ -6,12 +6,13 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from hoisthook.retry.caller_weight import CallerWeight
+from hoisthook.retry.idle_share import IdleShare
 
 if TYPE_CHECKING:
     from hoisthook.identity import RequestId
     from hoisthook.identity import RouteName
     from hoisthook.port.clock import Clock
+    from hoisthook.retry.idle_share import IdleSighting
 
 # Requests of a route that are judged by; beyond them the counts are halved, so that a change in
 # who calls what is learned within some 200 calls.
@@ -88,25 +89,30 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._callers = CallerWeight(clock.now())
+        self._idle = IdleShare(clock.now())
         self._running: set[RunningRequest] = set()
         self._seen_by_route: dict[RouteName, _Seen] = {}
 
     def begin(self, running: RunningRequest) -> None:
         """Note that a request is sent to the backend server."""
         if not self._running:
-            self._callers.turned(self._clock.now(), is_idle=False)
+            self._idle.turned(self._clock.now(), is_idle=False)
         self._running.add(running)
 
     def end(self, running: RunningRequest) -> None:
         """Note that it runs no more."""
         self._running.discard(running)
         if not self._running:
-            self._callers.turned(self._clock.now(), is_idle=True)
+            self._idle.turned(self._clock.now(), is_idle=True)
 
-    def callers_weight(self) -> float:
-        """Return how many requests of callers one that arrives at this moment stands for."""
-        return self._callers.weight(self._clock.now())
+    def reported(self, running: int) -> None:
+        """Take in how many requests the backend server says that it has."""
+        if running == 0:
+            self._idle.emptied(self._clock.now())
+
+    def sighting(self) -> IdleSighting:
+        """Return whether anything runs at this moment, and how often nothing does."""
+        return self._idle.sighting(self._clock.now())
 
     def arrived(self, route: RouteName) -> None:
         """Learn from what runs at the moment at which a request of a route arrives here."""
--- a/src/hoisthook/beside/backend_exchange.py
+++ b/src/hoisthook/beside/backend_exchange.py
@@ -228,6 +228,7 @@
         reading = self._wire.read(head)
         if reading.load is not None:
             self._belief.loaded(reading.load)
+            self._running.reported(reading.load.running + reading.load.waiting)
             self._speed.moments.reported(reading.load.slowdown, self._clock.now())
         match reading.kind:
             case AnswerKind.OTHER_INSTANCE:
--- a/src/hoisthook/beside/repeat_limit.py
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -11,13 +11,16 @@
 from hoisthook.retry.arrival import Arrival
 from hoisthook.retry.arrival_budget import ArrivalBudget
 from hoisthook.retry.arrival_budget import part_of
+from hoisthook.retry.caller_share import CallerShares
 
 if TYPE_CHECKING:
     from hoisthook.identity import NodeId
     from hoisthook.identity import RequestId
+    from hoisthook.identity import RouteName
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
     from hoisthook.retry.arrival_budget import RetrySettings
+    from hoisthook.retry.idle_share import IdleSighting
 
 # Other nodes send no repeats for this long at most; requests that come meanwhile open sooner.
 MAX_CLOSED_SECONDS = 0.25
@@ -46,8 +49,9 @@
     """A request on its way to the backend server."""
 
     request_id: RequestId
+    route: RouteName
     arrival: Arrival
-    asked: float
+    sighting: IdleSighting
     by_repeat: float
 
 
@@ -82,6 +86,7 @@
         self._clock = clock
         self._log = log
         self._budget = ArrivalBudget(settings, clock.now())
+        self._callers = CallerShares()
         self._shared_by = 0
         self._seen: tuple[int, bool] | None = None
         self._held_until = -math.inf
@@ -119,7 +124,8 @@
         now = self._clock.now()
         self._budget.arrived(call.arrival, now)
         if call.arrival is Arrival.FIRST:
-            self._budget.requested(call.asked, now)
+            self._callers.learn(call.route, call.sighting)
+            self._budget.requested(self._callers.counted(call.route), now)
             self._budget.called(call.by_repeat, now)
         else:
             self._tell(call, now, granted=True)
--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -367,7 +367,7 @@
             priority=route.priority,
             repeatable=route.repeatable,
             max_attempts=2,
-            asked=entry.running.callers_weight(),
+            sighting=entry.running.sighting(),
             by_repeat=entry.running.repeated(route.name),
         )
         try:
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -114,7 +114,9 @@
         self._exchanges = BackendExchanges(
             address, wire, pool, self.belief, self._speed, self.running, self.ends, clock, log
         )
-        self.health = HealthReader(address, wire, pool, self.belief, self._speed, clock, log)
+        self.health = HealthReader(
+            address, wire, pool, self.belief, self._speed, self.running, clock, log
+        )
         self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.belief.on_replaced(self._replaced)
         self.health.on_cold(self._observed_cold)
--- a/src/hoisthook/mesh/entry.py
+++ b/src/hoisthook/mesh/entry.py
@@ -250,7 +250,7 @@
             made_by=None if maker is None else maker.request_id,
             repeatable=route.repeatable,
             max_attempts=route.max_attempts,
-            asked=self._beside.callers_weight(),
+            sighting=self._beside.sighting(),
             by_repeat=self._beside.repeated(route.name),
         )
 
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.admission.running_requests import RunningRequests
     from hoisthook.admission.server_speed import ServerSpeed
     from hoisthook.identity import Address
     from hoisthook.mesh.backend_belief import BackendBelief
@@ -46,6 +47,8 @@
         Gets the state that is read.
     speed : ServerSpeed
         Gets the load that is read.
+    running : RunningRequests
+        Told when nothing runs there.
     clock : Clock
         Monotonic.
     log : EventLog
@@ -59,6 +62,7 @@
         pool: ClientPool,
         belief: BackendBelief,
         speed: ServerSpeed,
+        running: RunningRequests,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -67,6 +71,7 @@
         self._pool = pool
         self._belief = belief
         self._speed = speed
+        self._running = running
         self._clock = clock
         self._log = log
         self._reading: asyncio.Task[None] | None = None
@@ -126,4 +131,5 @@
             self._on_cold(reading.cold_seconds, asked_at)
         if reading.load is not None:
             self._belief.loaded(reading.load)
+            self._running.reported(reading.load.running + reading.load.waiting)
             self._speed.moments.reported(reading.load.slowdown, self._clock.now())
--- a/src/hoisthook/mesh/hop_header.py
+++ b/src/hoisthook/mesh/hop_header.py
@@ -13,6 +13,8 @@
 from hoisthook.identity import ServiceName
 from hoisthook.identity import TeamName
 from hoisthook.retry.arrival import Arrival
+from hoisthook.retry.idle_share import UNKNOWN
+from hoisthook.retry.idle_share import IdleSighting
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
@@ -27,6 +29,7 @@
 FIELDS_WITH_TEAM = 13
 MILLIS = 1000.0
 PERCENT = 100.0
+IDLE = "i"
 
 
 def wait_headers(seconds: float) -> list[Header]:
@@ -80,8 +83,8 @@
         Who asks, if that is known.
     arrival : Arrival
         What is known of its earlier tries.
-    asked : float
-        How many requests of callers it stands for.
+    sighting : IdleSighting
+        What ran beside the sender when it came.
     by_repeat : float
         Chance that it is a call of a run that is a repeat itself.
     """
@@ -97,7 +100,7 @@
     configuration: int
     team: TeamName | None = None
     arrival: Arrival = Arrival.FIRST
-    asked: float = 0.0
+    sighting: IdleSighting = UNKNOWN
     by_repeat: float = 0.0
 
     def encode(self) -> bytes:
@@ -113,7 +116,7 @@
             str(round(self.target_left * MILLIS)),
             str(self.configuration),
             self.arrival.value,
-            str(round(self.asked * PERCENT)),
+            f"{round(self.sighting.share * PERCENT)}{IDLE if self.sighting.is_idle else ''}",
             str(round(self.by_repeat * PERCENT)),
         ]
         if self.team is not None:
@@ -138,9 +141,14 @@
                 target_left=int(parts[7]) / MILLIS,
                 configuration=int(parts[8]),
                 arrival=Arrival(parts[9]),
-                asked=int(parts[10]) / PERCENT,
+                sighting=_sighting(parts[10]),
                 by_repeat=int(parts[11]) / PERCENT,
                 team=TeamName(unquote(parts[12])) if len(parts) == FIELDS_WITH_TEAM else None,
             )
         except ValueError:
             return None
+
+
+def _sighting(value: str) -> IdleSighting:
+    is_idle = value.endswith(IDLE)
+    return IdleSighting(int(value.removesuffix(IDLE)) / PERCENT, is_idle)
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -140,7 +140,7 @@
         priority=header.priority,
         team=header.team,
         arrival=header.arrival,
-        asked=header.asked,
+        sighting=header.sighting,
         by_repeat=header.by_repeat,
         repeatable=False,
         max_attempts=1,
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -150,7 +150,7 @@
             configuration=self._sync.version,
             team=call.team,
             arrival=call.arrival,
-            asked=call.asked,
+            sighting=call.sighting,
             by_repeat=call.by_repeat,
         )
         held_back = call.held_back or view.may_be_silent(now)
--- a/src/hoisthook/mesh/routed_call.py
+++ b/src/hoisthook/mesh/routed_call.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.retry.arrival import Arrival
+from hoisthook.retry.idle_share import UNKNOWN
+from hoisthook.retry.idle_share import IdleSighting
 from hoisthook.retry.work_identity import identify
 
 if TYPE_CHECKING:
@@ -56,8 +58,8 @@
         The request that runs beside the first node and makes this one, if any does.
     arrival : Arrival
         What is known of its earlier tries.
-    asked : float
-        How many requests of callers it stands for; 0 where it may be a call of a run.
+    sighting : IdleSighting
+        What ran beside the first node when it came, by which callers' requests are told from calls.
     by_repeat : float
         Chance that it is a call of a run that is a repeat itself.
     held_back : bool
@@ -85,7 +87,7 @@
     team: TeamName | None = None
     made_by: RequestId | None = None
     arrival: Arrival = Arrival.FIRST
-    asked: float = 0.0
+    sighting: IdleSighting = UNKNOWN
     by_repeat: float = 0.0
     held_back: bool = False
     is_whole: bool = True
--- a/src/hoisthook/retry/idle_share.py
+++ b/src/hoisthook/retry/idle_share.py
@@ -1,27 +1,38 @@
-"""How many requests of callers one that arrives stands for, where calls look the same."""
+"""How often nothing runs at the backend server beside, as a request that comes would find it."""
 
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 
-# How fast the idle share follows the load.
-IDLE_SHARE_SECONDS = 5.0
-# One request stands for so many at most: a rare moment without work says little of the rest.
-MAX_WEIGHT = 8.0
-# Of what is estimated, what is counted: the estimate scatters by a tenth over a thousand requests.
-COUNTED_SHARE = 0.8
-# For how long runs that a predecessor of this process has begun may go on making calls.
+# How fast the share follows the load.
+FOLLOWING_SECONDS = 5.0
+# For how long runs that a predecessor of this process has begun may go on making calls, unless
+# the backend server says that it runs nothing.
 UNKNOWN_RUNS_SECONDS = 3.0
 
 
-class CallerWeight:
-    """Estimates callers' requests from those that come while nothing runs beside.
+@dataclass(frozen=True, slots=True)
+class IdleSighting:
+    """What a request found beside the node that took it.
+
+    Attributes
+    ----------
+    share : float
+        Of the time in which nothing runs there; 0 where that is not known.
+    is_idle : bool
+        Whether nothing ran when it came: then no run there can have made it.
+    """
+
+    share: float = 0.0
+    is_idle: bool = False
 
-    Load pattern: half of what a service gets are calls that other services make, and it turns
-    most of that away. Operators allow repeats by what callers ask, and nothing in a request tells
-    whether a caller or the backend server beside has sent it; but a backend server makes calls
-    only while it runs something. Callers do not look at what runs, so of their requests the same
-    share comes in idle moments as there is idle time, and each of these stands for the reciprocal.
+
+UNKNOWN = IdleSighting()
+
+
+class IdleShare:
+    """Follows whether anything runs beside.
 
     Parameters
     ----------
@@ -30,25 +41,33 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._begun = now
+        self._known_from = now + UNKNOWN_RUNS_SECONDS
         self._at = now
         self._is_idle = True
-        self._idle_share = 1.0
+        # Each moment counts the less the longer ago it is.
+        self._seconds = 0.0
+        self._idle_seconds = 0.0
 
     def turned(self, now: float, *, is_idle: bool) -> None:
-        """Take in that from now on something runs beside, or nothing does."""
+        """Take in that from now on something runs, or nothing does."""
         self._follow(now)
         self._is_idle = is_idle
 
-    def weight(self, now: float) -> float:
-        """Return how many requests of callers one that arrives now stands for."""
+    def emptied(self, now: float) -> None:
+        """Take in that the backend server runs nothing, so nothing of a predecessor either."""
+        self._known_from = min(self._known_from, now)
+
+    def sighting(self, now: float) -> IdleSighting:
+        """Return what a request finds that comes now."""
         self._follow(now)
-        if not self._is_idle or now - self._begun < UNKNOWN_RUNS_SECONDS:
-            return 0.0
-        return COUNTED_SHARE * min(MAX_WEIGHT, 1.0 / self._idle_share)
+        if now < self._known_from:
+            return UNKNOWN
+        share = self._idle_seconds / self._seconds if self._seconds > 0 else 0.0
+        return IdleSighting(share, self._is_idle)
 
     def _follow(self, now: float) -> None:
-        kept = math.exp(-(now - self._at) / IDLE_SHARE_SECONDS)
-        state = 1.0 if self._is_idle else 0.0
-        self._idle_share = max(1.0 / MAX_WEIGHT, state + (self._idle_share - state) * kept)
+        kept = math.exp(-(now - self._at) / FOLLOWING_SECONDS)
+        passed = (1.0 - kept) * FOLLOWING_SECONDS
+        self._seconds = kept * self._seconds + passed
+        self._idle_seconds = kept * self._idle_seconds + (passed if self._is_idle else 0.0)
         self._at = now
--- a/tests/beside/test_repeat_limit.py
+++ b/tests/beside/test_repeat_limit.py
@@ -7,9 +7,12 @@
 from hoisthook.beside.repeat_limit import RepeatLimit
 from hoisthook.identity import NodeId
 from hoisthook.identity import RequestId
+from hoisthook.identity import RouteName
 from hoisthook.result_code import ResultCode
 from hoisthook.retry.arrival import Arrival
 from hoisthook.retry.arrival_budget import RetrySettings
+from hoisthook.retry.idle_share import UNKNOWN
+from hoisthook.retry.idle_share import IdleSighting
 from standin.mesh_system import ListLog
 from tests.fakes import FakeClock
 
@@ -32,7 +35,8 @@
 @dataclass
 class Request:
     arrival: Arrival = Arrival.FIRST
-    asked: float = 1.0
+    route: RouteName = field(default=RouteName("route"))
+    sighting: IdleSighting = UNKNOWN
     by_repeat: float = 0.0
     request_id: RequestId = field(default=RequestId("r"))
 
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -256,7 +256,7 @@
     writer.write(
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
         b"transfer-encoding: chunked\r\n"
-        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0 0\r\n\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0i 0\r\n\r\n"
     )
     assert (await reader.readline()).split()[1] == b"100"
     writer.transport.abort()
@@ -278,7 +278,7 @@
     writer.write(
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
         b"transfer-encoding: chunked\r\n"
-        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0 0\r\n\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0i 0\r\n\r\n"
     )
     assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
     assert await reader.read() == b""
@@ -295,7 +295,7 @@
     head = (
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
         b"transfer-encoding: chunked\r\n"
-        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0 0\r\n\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0i 0\r\n\r\n"
     )
     writer.write(head)
     refusal = await reader.readuntil(b"\r\n\r\n")
