--- a/src/hoisthook/adapter/meters.py
+++ b/src/hoisthook/adapter/meters.py
@@ -75,6 +75,11 @@
             ("evacuated_data_centres", float(status.evacuated)),
             ("backend_cold", float(status.cold)),
             ("refused_work", float(status.refused_work)),
+            ("repeats_arrived", status.repeats.arrived),
+            ("repeats_requests", status.repeats.requests),
+            ("repeats_part", status.repeats.part),
+            ("repeats_level", status.repeats.level),
+            ("repeats_nodes", float(status.repeats.nodes)),
         ):
             self._gauge_by_name[name].set(value)
         return generate_latest(self._registry)
@@ -93,4 +98,9 @@
     "evacuated_data_centres": "Data centres that operators have evacuated.",
     "backend_cold": "Whether the backend server beside says that it is cold.",
     "refused_work": "Works refused because several backend servers ended under them.",
+    "repeats_arrived": "Repeats that were sent to the backend server beside since the start.",
+    "repeats_requests": "Callers' requests by which more are allowed, since the start.",
+    "repeats_part": "Repeats that this node may admit in a window besides.",
+    "repeats_level": "Repeats that this node may admit now; below 0 what is owed.",
+    "repeats_nodes": "Nodes of the service by which the fixed number is divided; 0: not known.",
 }
--- a/src/hoisthook/beside/repeat_limit.py
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -30,6 +31,31 @@
 HELD_SECONDS = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatStatus:
+    """What a node adds to the sum of its service.
+
+    Attributes
+    ----------
+    arrived : float
+        Repeats since the start, calls of repeated runs by their chance of being one.
+    requests : float
+        Requests of callers that were counted since the start.
+    part : float
+        This node's of the fixed number.
+    level : float
+        Repeats that it may admit now; below 0 what is owed.
+    nodes : int
+        By which the fixed number is divided; 0 while they are not known.
+    """
+
+    arrived: float
+    requests: float
+    part: float
+    level: float
+    nodes: int
+
+
 class ServiceNodes(Protocol):
     """Who shares the budget."""
 
@@ -88,6 +114,8 @@
         self._budget = ArrivalBudget(settings, clock.now())
         self._callers = CallerShares()
         self._shared_by = 0
+        self._arrived = 0.0
+        self._requests = 0.0
         self._seen: tuple[int, bool] | None = None
         self._held_until = -math.inf
 
@@ -125,12 +153,23 @@
         self._budget.arrived(call.arrival, now)
         if call.arrival is Arrival.FIRST:
             self._callers.learn(call.route, call.sighting)
-            self._budget.requested(self._callers.counted(call.route), now)
+            requests = self._callers.counted(call.route)
+            self._requests += requests
+            self._budget.requested(requests, now)
+            self._arrived += call.by_repeat
             self._budget.called(call.by_repeat, now)
         else:
+            self._arrived += 1
             self._tell(call, now, granted=True)
         return None
 
+    def status(self) -> RepeatStatus:
+        """Return what an operator adds up over the nodes of the service."""
+        level = self._budget.level(self._clock.now())
+        return RepeatStatus(
+            self._arrived, self._requests, self._budget.part, level, self._shared_by
+        )
+
     @property
     def owes(self) -> bool:
         """Return whether calls of repeated runs have taken more than is left for them."""
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -309,6 +309,7 @@
             evacuated=len(self.evacuations.data_centres),
             cold=self.link.gate.cold.is_cold(self._clock.now()),
             refused_work=self.crashes.evidence.refused,
+            repeats=self.repeats.status(),
         )
 
     def _make_entry(self, service: ServiceName, wire: CallerWire) -> Entry:
--- a/src/hoisthook/mesh/node_status.py
+++ b/src/hoisthook/mesh/node_status.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.beside.repeat_limit import RepeatStatus
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +37,8 @@
         Whether the backend server says that it is cold.
     refused_work : int
         Works refused because several backend servers ended under them.
+    repeats : RepeatStatus
+        The budget of repeats at the backend server.
     """
 
     ready: bool
@@ -48,3 +54,4 @@
     evacuated: int
     cold: bool
     refused_work: int
+    repeats: RepeatStatus
--- a/tests/adapter/test_metered_log.py
+++ b/tests/adapter/test_metered_log.py
@@ -9,6 +9,7 @@
 
 from hoisthook.adapter import metered_log
 from hoisthook.adapter.metered_log import MeteredLog
+from hoisthook.beside.repeat_limit import RepeatStatus
 from hoisthook.mesh.node_status import NodeStatus
 from standin.mesh_system import ListLog
 
@@ -29,6 +30,7 @@
     evacuated=1,
     cold=False,
     refused_work=2,
+    repeats=RepeatStatus(7.5, 120.0, 15.5, -1.0, 4),
 )
 ROOT = Path(__file__).parent.parent.parent
 DOCS = ROOT / "docs"
--- a/tests/beside/test_repeat_limit.py
+++ b/tests/beside/test_repeat_limit.py
@@ -111,3 +111,17 @@
     clock.advance(1.0)
     assert caller.refuse(Request(Arrival.REDIRECTED)) is None
     assert not called.owes
+
+
+def test_status_adds_up_what_arrived_and_what_was_counted() -> None:
+    clock = FakeClock()
+    told = limit(Nodes(), clock)
+    told.arrives(Request(sighting=IdleSighting(1.0, is_idle=True)))
+    told.arrives(Request(by_repeat=0.25))
+    clock.advance(100.0)
+    assert repeats(told, 3) == 3
+    status = told.status()
+    assert status.arrived == 3.25
+    assert 0.0 < status.requests <= 2.0
+    assert (status.part, status.nodes) == (40.0, 1)
+    assert status.level == 7.0
