A test of waiting requests depends on no pace

By its text: eight calls had to run at once, each for 0.3 s; where the machine takes longer to begin eight, they never do and the wait of 10 s ends. The calls now run until the test lets them end; all it asserts stays.

--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -65,6 +65,9 @@
         self.instance = instance
         self.slots = slots
         self.work_seconds = 0.0
+        # What runs ends only while this is set.
+        self.go_on = asyncio.Event()
+        self.go_on.set()
         self.slowdown = 100
         self.healthy = True
         self.cold_seconds = 0.0
@@ -202,6 +205,7 @@
             if self._crashing is not None and exchange.head.target == self._crashing:
                 await self.crashed.wait()
             await asyncio.sleep(self.work_seconds)
+            await self.go_on.wait()
             if self.fault is Fault.HANG:
                 await asyncio.Event().wait()
         except asyncio.CancelledError:
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -96,7 +96,7 @@
     system.publish(2, RouteOptions("shop", target=2.0, timeout=20.0))
     await system.until_configured(2)
     for machine in (first, second):
-        machine.backend.work_seconds = 0.3
+        machine.backend.go_on.clear()
     calls = [asyncio.create_task(system.call(entry)) for _ in range(8)]
     async with asyncio.timeout(10.0):
         while first.backend.running + second.backend.running < 8:
@@ -108,6 +108,8 @@
     drained = first if first.node.link.gate.waiting else second
     arrivals = len(drained.backend.arrivals)
     assert await drained.beat("draining") == 200
+    for machine in (first, second):
+        machine.backend.go_on.set()
     await waiting
     await asyncio.gather(*calls)
     assert len(drained.backend.arrivals) == arrivals
