--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -119,8 +119,8 @@
     borne: 11 requests of a day of 24 nodes ran on more backend servers than their routes allow, and
     none since the last attempt that a route allows is held back, see `AdmittedExchange`. What was
     admitted and not answered is tried again only if it may be repeated and the route allows another
-    attempt. Whether the service has room for repeats is known beside its backend servers, see
-    `hoisthook.beside.repeat_limit`.
+    attempt. Each try says whether it would be the first to arrive; whether the service has room for
+    others is known beside its backend servers, see `hoisthook.beside.repeat_limit`.
 
     Parameters
     ----------
@@ -132,12 +132,7 @@
         Monotonic.
     """
 
-    def __init__(
-        self,
-        choice: PeerChoice,
-        hop: Hop,
-        clock: Clock,
-    ) -> None:
+    def __init__(self, choice: PeerChoice, hop: Hop, clock: Clock) -> None:
         self._choice = choice
         self._hop = hop
         self._clock = clock
