--- a/src/hoisthook/admission/running_requests.py
+++ b/src/hoisthook/admission/running_requests.py
@@ -128,6 +128,8 @@
 
         All that run are taken for its maker alike where it is not known which routes make it.
         """
+        if not any(request.repeat for request in self._running):
+            return 0.0
         makers = self._makers(route) or self._running
         return sum(request.repeat for request in makers) / max(1, len(makers))
 
