Only nodes whose runs make calls to a service that owes hold their repeats

Cause: an answer told that its service owes whoever had sent the request; a caller's request bears the chance that what runs where it begins is a repeat as well, so a service that owed a little held its own redirects, and any other that callers ask. Mend: the word goes with answers to calls only, by what the node beside has learned of the route. test_nodes_hold_no_repeats_for_callers_requests_to_a_service_that_owes fails without it.

--- a/src/hoisthook/beside/repeat_limit.py
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -29,6 +29,8 @@
 # For how long no repeat begins that would make calls to a service that owes; its nodes tell again
 # with each answer.
 HELD_SECONDS = 0.5
+# A route of which callers send less than this is one of calls.
+CALLED_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,10 +176,14 @@
             self._arrived, self._requests, self._budget.part, level, self._shared_by
         )
 
-    @property
-    def owes(self) -> bool:
-        """Return whether calls of repeated runs have taken more than is left for them."""
-        return self._budget.owes(self._clock.now())
+    def owes_for(self, call: Try) -> bool:
+        """Return whether runs that make such calls must not be repeated for now.
+
+        Calls of repeated runs have then taken more than is left for them. Callers' requests are
+        told nothing: where they begin other services would hold their repeats for them.
+        """
+        is_call = self._callers.share(call.route) < CALLED_SHARE
+        return is_call and self._budget.owes(self._clock.now())
 
     def called_owes(self, call: Try) -> None:
         """Take in that the service that a call went to owes.
--- a/src/hoisthook/experiment/modelled_hop.py
+++ b/src/hoisthook/experiment/modelled_hop.py
@@ -56,7 +56,7 @@
         now = self._clock.now()
         load = node.load()
         view.reported(load, now)
-        if load.owes_repeats:
+        if node.repeats.owes_for(call):
             self._node.repeats.called_owes(call)
         if isinstance(outcome, Refused) and outcome.code is ResultCode.UNREACHABLE:
             view.close_until(now + outcome.retry_after)
--- a/src/hoisthook/experiment/modelled_node.py
+++ b/src/hoisthook/experiment/modelled_node.py
@@ -128,14 +128,7 @@
     def load(self) -> BesideLoad:
         """Return what the node tells others."""
         gate = self.admitter.gate
-        return BesideLoad(
-            gate.running,
-            gate.waiting,
-            gate.limit,
-            self._speed.slowdown,
-            0.0,
-            owes_repeats=self.repeats.owes,
-        )
+        return BesideLoad(gate.running, gate.waiting, gate.limit, self._speed.slowdown, 0.0)
 
     async def run(self, call: RoutedCall, admission: Admission) -> Outcome:
         """Run a request beside this node as a node does."""
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -176,7 +176,6 @@
             limit=self.gate.limit,
             slowdown=self._speed.slowdown,
             failing=self.belief.failing,
-            owes_repeats=self.repeats.owes,
         )
 
     async def run(
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -101,10 +101,14 @@
             exchange.processing(hop_header.wait_headers(seconds))
 
         outcome = await self._beside.run(call, header.admission, admitted=admitted, waiting=waiting)
-        await self._answer(exchange, outcome)
+        await self._answer(exchange, outcome, owes=self._beside.repeats.owes_for(call))
 
-    async def _answer(self, exchange: ServerExchange, outcome: Outcome) -> None:
-        told = dataclasses.replace(self._beside.load(), configuration=self._sync.version)
+    async def _answer(
+        self, exchange: ServerExchange, outcome: Outcome, *, owes: bool = False
+    ) -> None:
+        told = dataclasses.replace(
+            self._beside.load(), configuration=self._sync.version, owes_repeats=owes
+        )
         load = (hop_header.LOAD, told.encode())
         if isinstance(outcome, WholeAnswer):
             headers = [*outcome.headers, load]
--- a/tests/beside/test_repeat_limit.py
+++ b/tests/beside/test_repeat_limit.py
@@ -99,7 +99,7 @@
     called.arrives(Request())
     for _ in range(10):
         called.arrives(Request(by_repeat=1.0))
-    assert called.owes
+    assert called.owes_for(Request())
     caller = limit(Nodes(), clock)
     caller.arrives(Request())
     clock.advance(100.0)
@@ -110,7 +110,7 @@
     assert caller.refuse(Request()) is None
     clock.advance(1.0)
     assert caller.refuse(Request(Arrival.REDIRECTED)) is None
-    assert not called.owes
+    assert not called.owes_for(Request())
 
 
 def test_status_adds_up_what_arrived_and_what_was_counted() -> None:
@@ -136,3 +136,15 @@
     told.arrives(request := Request(by_repeat=1.0))
     assert request.by_repeat < 0.1
     assert told.status().arrived - before < 0.1
+
+
+def test_nodes_hold_no_repeats_for_callers_requests_to_a_service_that_owes() -> None:
+    clock = FakeClock()
+    called = limit(Nodes(), clock)
+    asked = RouteName("asked")
+    for _ in range(100):
+        called.arrives(Request(route=asked, sighting=IdleSighting(1.0, is_idle=True)))
+    for _ in range(10):
+        called.arrives(Request(by_repeat=1.0))
+    assert called.owes_for(Request())
+    assert not called.owes_for(Request(route=asked))
