Runs that make calls to a service that owes are held as soon as it owes, and for a second

Cause: what held was too much by mistake; with that mended, an eighth of the part could be owed before the word went out, and after half a second repeats began again while those before still made their calls. Change: the word goes out with the first that is owed, and holds for a second.

--- a/src/hoisthook/beside/repeat_limit.py
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -26,9 +26,9 @@
 # Other nodes send no repeats for this long at most; requests that come meanwhile open sooner.
 MAX_CLOSED_SECONDS = 0.25
 MIN_CLOSED_SECONDS = 0.02
-# For how long no repeat begins that would make calls to a service that owes; its nodes tell again
-# with each answer.
-HELD_SECONDS = 0.5
+# For how long no repeat begins that would make calls to a service that owes. Those that run already
+# make theirs meanwhile; its nodes tell again with each answer.
+HELD_SECONDS = 1.0
 # A route of which callers send less than this is one of calls.
 CALLED_SHARE = 0.5
 
--- a/src/hoisthook/retry/arrival_budget.py
+++ b/src/hoisthook/retry/arrival_budget.py
@@ -18,8 +18,6 @@
 # Of a node's part of the fixed number: what can be saved up, and what accrues in a window.
 SAVED_SHARE = 0.25
 ACCRUED_SHARE = 0.5
-# What calls of repeated runs may use beyond that before the runs that make them are held.
-OWED_SHARE = 0.125
 # What tries may use beyond it whose first was given up at a silent node.
 UNHEARD_SHARE = 0.25
 # Of what is saved up and accrues, for reruns.
@@ -118,7 +116,7 @@
 
     def owes(self, now: float) -> bool:
         """Return whether calls of repeated runs have taken more than is left for them."""
-        return self._all.level(now) < -OWED_SHARE * self.part
+        return self._all.level(now) < 0.0
 
     def opens_in(self, arrival: Arrival, now: float) -> float:
         """Return the seconds until a try may arrive, without requests that come meanwhile."""
