--- a/src/hoisthook/retry/arrival_budget.py
+++ b/src/hoisthook/retry/arrival_budget.py
@@ -57,8 +57,7 @@
     more, however often they start.
 
     Reruns have a part only: they are late and make their calls again, at a service that may be
-    the one that is short. In 10 s of such a load 1,005 second tries were granted and 2,997 denied,
-    while 641 requests were run again, at 1.4 calls each.
+    the one that is short.
 
     Parameters
     ----------
