--- a/tests/node/test_leaving.py
+++ b/tests/node/test_leaving.py
@@ -171,7 +171,8 @@
     assert system.runs("late") == 0
 
 
-async def test_closing_a_node_beside_cuts_nothing(system: System, no_grace: None) -> None:
+async def test_closing_a_node_beside_cuts_nothing(patient_system: System, no_grace: None) -> None:
+    system = patient_system
     for backend in system.backend_by_name.values():
         backend.work = 0.25
     running = [
