Stalls of the event loop and the wait at silent nodes are told

No line tells how long a sender waited, nor whether it was about to stop, and nothing tells that a loop stood still.

No decision changes.

--- a/src/hoisthook/adapter/meters.py
+++ b/src/hoisthook/adapter/meters.py
@@ -80,6 +80,7 @@
             ("repeats_part", status.repeats.part),
             ("repeats_level", status.repeats.level),
             ("repeats_nodes", float(status.repeats.nodes)),
+            ("stalled_seconds", status.stalled_seconds),
         ):
             self._gauge_by_name[name].set(value)
         return generate_latest(self._registry)
@@ -102,5 +103,6 @@
     "repeats_requests": "Callers' requests by which more are allowed, since the start.",
     "repeats_part": "Repeats that this node may admit in a window besides.",
     "repeats_level": "Repeats that this node may admit now; below 0 what is owed.",
+    "stalled_seconds": "For how long the event loop has stood still since the start.",
     "repeats_nodes": "Nodes of the service by which the fixed number is divided; 0: not known.",
 }
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -9,6 +9,7 @@
 
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.adapter.loop_stalls import LoopStalls
 from hoisthook.beside.link_settings import LinkSettings
 from hoisthook.beside.repeat_limit import RepeatLimit
 from hoisthook.identity import DataCentre
@@ -111,6 +112,7 @@
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self._randomness = random.Random(secrets.randbits(64))
+        self._stalls = LoopStalls(log)
         self._backend_pool = ClientPool(idle_limit=BACKEND_IDLE_SECONDS)
         self._peer_pool = ClientPool(idle_limit=PEER_IDLE_SECONDS)
         self.stopping = False
@@ -222,6 +224,7 @@
         HoisthookError
             With ``PORT_UNAVAILABLE`` if an address cannot be opened.
         """
+        self._stalls.start()
         await self._callers.start()
         await self._peers.start()
         self.sync.peer_port = self._peers.address[1]
@@ -274,6 +277,7 @@
         return all(ended)
 
     def _forget_connections(self) -> None:
+        self._stalls.close()
         self.crashes.close()
         self._quotas.close()
         self._registration.close()
@@ -310,6 +314,7 @@
             cold=self.link.gate.cold.is_cold(self._clock.now()),
             refused_work=self.crashes.evidence.refused,
             repeats=self.repeats.status(),
+            stalled_seconds=self._stalls.seconds,
         )
 
     def _make_entry(self, service: ServiceName, wire: CallerWire) -> Entry:
--- a/src/hoisthook/mesh/node_status.py
+++ b/src/hoisthook/mesh/node_status.py
@@ -39,6 +39,8 @@
         Works refused because several backend servers ended under them.
     repeats : RepeatStatus
         The budget of repeats at the backend server.
+    stalled_seconds : float
+        For how long the event loop has stood still since the start.
     """
 
     ready: bool
@@ -55,3 +57,4 @@
     cold: bool
     refused_work: int
     repeats: RepeatStatus
+    stalled_seconds: float
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -162,7 +162,7 @@
             target_left=header.target_left, timeout=header.time_left, min_silence=silence
         )
         if isinstance(answered, Lost | Refused):
-            self._note_lost(view, call, answered)
+            self._note_lost(view, call, answered, self._clock.now() - now)
             return answered
         self._pool.keep(view.address, connection)
         head, body = answered
@@ -185,7 +185,9 @@
             )
             return Refused(ResultCode.UNREACHABLE, seconds)
 
-    def _note_lost(self, view: PeerView, call: RoutedCall, lost: Lost | Refused) -> None:
+    def _note_lost(
+        self, view: PeerView, call: RoutedCall, lost: Lost | Refused, seconds: float
+    ) -> None:
         if isinstance(lost, Refused) or lost.is_silent:
             view.silent(self._clock.now())
         if lost.code is not ResultCode.DEADLINE_DURING_RUN:
@@ -194,6 +196,7 @@
             # Other connections to it may be as dead, and each would cost a request as long.
             self._pool.forget(view.address)
         peer = view.peer.node
+        waited_ms = round(seconds * 1000.0, 1)
         if isinstance(lost, Lost):
             self._log.decision(
                 "hop_lost",
@@ -202,10 +205,16 @@
                 code=lost.code.number,
                 admitted=lost.admitted,
                 silent=lost.is_silent,
+                waited_ms=waited_ms,
+                leaving=self.leaving,
             )
         else:
             self._log.decision(
-                "hop_silent", request=call.request_id, peer=peer, code=lost.code.number
+                "hop_silent",
+                request=call.request_id,
+                peer=peer,
+                code=lost.code.number,
+                waited_ms=waited_ms,
             )
 
     def _read(self, view: PeerView, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
--- a/tests/adapter/test_metered_log.py
+++ b/tests/adapter/test_metered_log.py
@@ -31,6 +31,7 @@
     cold=False,
     refused_work=2,
     repeats=RepeatStatus(7.5, 120.0, 15.5, -1.0, 4),
+    stalled_seconds=0.4,
 )
 ROOT = Path(__file__).parent.parent.parent
 DOCS = ROOT / "docs"
--- a/tests/docs/test_logs_page.py
+++ b/tests/docs/test_logs_page.py
@@ -19,6 +19,7 @@
     "src/hoisthook/adapter/json_event_log.py",
     "src/hoisthook/adapter/logged_store.py",
     "src/hoisthook/adapter/loop_errors.py",
+    "src/hoisthook/adapter/loop_stalls.py",
 )
 
 
