A silent node is heard out beside the further tries; its late answer is delivered

What callers saw: 502 to a repeatable request while a backend server worked at it, after SIGTERM of the node that took it (LOST), and at other times too.

Cause: a request that was sent whole to a node that had not said in 0.06 to 0.2 s that it runs it was given up: its connection was closed, so an answer that came late could not be taken any more. Where no other node could take the request, the caller got 502 although it ran. A leaving node waited a second instead, but decided so when it sent: a request under way when the stop came kept the short wait, and a longer silence was given up all the same.

Change: the exchange stays open, `Unheard`; the dispatcher tries other nodes beside and takes the first answer. Where nobody else is left it waits until the target latency is over, a leaving node until the deadline. A node that takes no connections either is not heard out: its requests cannot be answered. The number of backend servers that may run a request is counted in one place (`RoutedProgress`), so that one that is unheard and one that failed leave no third try where two are allowed; before, a failure followed by a silence did.

Why it works: nothing is given up that may run while its answer is of use. Silent tries were counted as arrivals before, so the budget of repeats holds.

--- a/src/hoisthook/experiment/modelled_hop.py
+++ b/src/hoisthook/experiment/modelled_hop.py
@@ -9,7 +9,7 @@
 from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.mesh.admitted_exchange import ADMISSION_SECONDS
 from hoisthook.mesh.admitted_exchange import SILENT_RETRY_SECONDS
-from hoisthook.node.call import Lost
+from hoisthook.mesh.outcome import Unheard
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
 
@@ -37,14 +37,17 @@
         self._system = system
         self._clock = clock
         self._probes = BackgroundTasks()
+        self.leaving = False
 
-    async def run(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
+    async def run(
+        self, view: PeerView, call: RoutedCall, admission: Admission
+    ) -> Outcome | Unheard:
         """Run the request there and learn from what comes back."""
         node = self._system.node_by_id[view.peer.node]
         if node.server.is_gone():
             return await self._connect_in_vain(view)
         if node.server.silent_until() > self._clock.now() and not view.is_self:
-            return await self._wait_in_vain(view, call, node)
+            return await self._wait_in_vain(view, call, admission, node)
         way = 0.0 if view.is_self else HOP_SECONDS
         view.sent()
         try:
@@ -53,16 +56,20 @@
             await asyncio.sleep(way)
         finally:
             view.ended()
+        self._heard(view, call, node, outcome)
+        return outcome
+
+    def _heard(
+        self, view: PeerView, call: RoutedCall, node: ModelledNode, outcome: Outcome
+    ) -> None:
         now = self._clock.now()
-        load = node.load()
-        view.reported(load, now)
+        view.reported(node.load(), now)
         if node.repeats.owes_for(call):
             self._node.repeats.called_owes(call)
         if isinstance(outcome, Refused) and outcome.code is ResultCode.UNREACHABLE:
             view.close_until(now + outcome.retry_after)
         elif isinstance(outcome, Refused) and outcome.code is ResultCode.RETRY_BUDGET_SPENT:
             view.no_repeats_until = now + outcome.retry_after
-        return outcome
 
     def close(self) -> None:
         """Stop the probes that are under way."""
@@ -80,25 +87,38 @@
             view.connected()
 
     async def _wait_in_vain(
-        self, view: PeerView, call: RoutedCall, node: ModelledNode
-    ) -> Lost | Refused:
-        """Give up a node that is silent; it still sends on what is whole when it wakes."""
+        self, view: PeerView, call: RoutedCall, admission: Admission, node: ModelledNode
+    ) -> Refused | Unheard:
+        """Bear the silence of a node, which still sends on what is whole when it wakes."""
         held_back = call.held_back or view.may_be_silent(self._clock.now())
-        if not held_back:
-            self._probes.start(self._arrive_late(dataclasses.replace(call), node))
+        sent = dataclasses.replace(call)
         await asyncio.sleep(ADMISSION_SECONDS)
         view.silent(self._clock.now())
         view.unreachable(self._clock.now())
         if held_back:
             return Refused(ResultCode.NODE_SILENT, SILENT_RETRY_SECONDS)
-        return Lost(ResultCode.ANSWER_LOST, admitted=False, is_silent=True)
-
-    async def _arrive_late(self, call: RoutedCall, node: ModelledNode) -> None:
+        late = asyncio.ensure_future(self._run_late(view, sent, admission, node))
+        # What is withdrawn may be on its way all the same.
+        self._probes.start(_until_done(late))
+        return Unheard(asyncio.ensure_future(_shielded(late)))
+
+    async def _run_late(
+        self, view: PeerView, call: RoutedCall, admission: Admission, node: ModelledNode
+    ) -> Outcome:
         await asyncio.sleep(node.server.silent_until() - self._clock.now())
-        if node.repeats.arrives(call) is None:
-            self._system.arrived(call)
+        outcome = await node.run(call, admission)
+        self._heard(view, call, node, outcome)
+        return outcome
 
     async def _connect_in_vain(self, view: PeerView) -> Refused:
         await asyncio.sleep(CONNECT_SECONDS)
         self._system.tally.unanswered += 1
         return Refused(ResultCode.UNREACHABLE, view.unreachable(self._clock.now()))
+
+
+async def _until_done(work: asyncio.Future[Outcome]) -> None:
+    await asyncio.wait((work,))
+
+
+async def _shielded(work: asyncio.Future[Outcome]) -> Outcome:
+    return await asyncio.shield(work)
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -17,6 +17,8 @@
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.mesh.routed_call import RoutedCall
@@ -64,26 +66,41 @@
         self._hop = hop
         self._held_back = held_back
         self._admitted = False
+        self._deadline = 0.0
+        self._answer: asyncio.Future[AnswerHead]
+        self._going: asyncio.Future[bool]
 
     async def run(
-        self, *, target_left: float, timeout: float, min_silence: float = 0.0
-    ) -> tuple[AnswerHead, bytes] | Refused | Lost:
+        self, *, target_left: float, timeout: float
+    ) -> tuple[AnswerHead, bytes] | Refused | Lost | None:
         """Return the answer, or what is known of a request without one.
 
+        None says that it was sent whole and that the other node is silent; it may still run it,
+        so either `hear_out` or `close` has to follow.
+
         Parameters
         ----------
         target_left : float
             Seconds until its target latency is over.
         timeout : float
             Seconds until the answer is of no use.
-        min_silence : float
-            Seconds for which the other node may be silent in any case.
         """
         silence = max(MIN_ADMISSION_SECONDS, ADMISSION_SHARE_OF_TARGET * target_left)
-        silence = max(min_silence, min(ADMISSION_SECONDS, silence))
+        self._deadline = asyncio.get_running_loop().time() + timeout
+        return await self._bounded(self._exchange(min(ADMISSION_SECONDS, silence)))
+
+    async def hear_out(self) -> tuple[AnswerHead, bytes] | Lost:
+        """Return the answer of a node that was silent, or what is known at the deadline."""
+        answered = await self._bounded(self._finish())
+        assert isinstance(answered, tuple | Lost)
+        return answered
+
+    async def _bounded(
+        self, exchange: Coroutine[object, object, tuple[AnswerHead, bytes] | None]
+    ) -> tuple[AnswerHead, bytes] | Refused | Lost | None:
         try:
-            async with asyncio.timeout(timeout):
-                return await self._exchange(silence)
+            async with asyncio.timeout_at(self._deadline):
+                return await exchange
         except TimeoutError:
             self._connection.close()
             return self._lost(ResultCode.DEADLINE_DURING_RUN, is_silent=True)
@@ -94,34 +111,40 @@
             self._connection.close()
             raise
 
-    async def _exchange(self, silence: float) -> tuple[AnswerHead, bytes]:
+    async def _exchange(self, silence: float) -> tuple[AnswerHead, bytes] | None:
         connection = self._connection
-        call = self._call
-        answer = connection.send(self._first_bytes(), bodyless_answer=call.method == b"HEAD")
-        self._admitted = await self._hear(silence)
+        self._answer = connection.send(
+            self._first_bytes(), bodyless_answer=self._call.method == b"HEAD"
+        )
+        self._going = connection.go_ahead()
+        if not await self._hear(silence):
+            if self._held_back:
+                raise TimeoutError
+            return None
+        return await self._finish()
+
+    async def _finish(self) -> tuple[AnswerHead, bytes]:
+        self._admitted = await self._going
         if self._held_back:
-            connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
-        head = await answer
-        return head, await read_whole(connection)
+            self._connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
+        head = await self._answer
+        return head, await read_whole(self._connection)
 
     async def _hear(self, silence: float) -> bool:
-        """Return whether the request is admitted.
+        """Return whether it is known in time if the request is admitted.
 
         A node that keeps it waiting says at once for how long; giving it up before would leave
         a request unserved that is about to start: 375 of 12,000 answers were 502 in a minute
         with a restart of all before, 14 after.
         """
-        going = self._connection.go_ahead()
+        going = self._going
         processing = self._connection.processing()
         await asyncio.wait(
             (going, processing), timeout=silence, return_when=asyncio.FIRST_COMPLETED
         )
-        if going.done():
-            return going.result()
-        if not processing.done():
-            raise TimeoutError
-        async with asyncio.timeout(wait_of(processing.result()) + ADMISSION_SECONDS):
-            return await going
+        if not going.done() and processing.done():
+            await asyncio.wait((going,), timeout=wait_of(processing.result()) + ADMISSION_SECONDS)
+        return going.done()
 
     def _first_bytes(self) -> bytes:
         call = self._call
--- a/src/hoisthook/mesh/outcome.py
+++ b/src/hoisthook/mesh/outcome.py
@@ -9,6 +9,8 @@
 from hoisthook.node.call import Refused
 
 if TYPE_CHECKING:
+    import asyncio
+
     from hoisthook.adapter.http.message import Header
 
 
@@ -33,3 +35,16 @@
 
 Outcome = WholeAnswer | Refused | Lost
 """Answered; truly not run; or sent, with nothing known of what became of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unheard:
+    """Sent whole to a node that has not said yet whether it runs it.
+
+    Attributes
+    ----------
+    heard : asyncio.Task of Outcome
+        Ends with what is heard, or with the deadline; cancelling it withdraws the request.
+    """
+
+    heard: asyncio.Task[Outcome]
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import end_to_end
@@ -11,6 +12,7 @@
 from hoisthook.mesh.admitted_exchange import AdmittedExchange
 from hoisthook.mesh.beside_load import BesideLoad
 from hoisthook.mesh.hop_header import HopHeader
+from hoisthook.mesh.outcome import Unheard
 from hoisthook.mesh.outcome import WholeAnswer
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
@@ -36,9 +38,6 @@
 # Instances are a few milliseconds apart; one that takes longer is down or cut off.
 CONNECT_SECONDS = 0.1
 DEFAULT_RETRY_SECONDS = 0.05
-# A node that leaves has no later moment at which to make good a request that it gave up: one that
-# was sent whole may run at the silent node, and its caller would see the shutdown cut it.
-LEAVING_SILENCE_SECONDS = 1.0
 _CLOSING_CODES = frozenset(
     {
         ResultCode.BACKEND_SERVER_DRAINING,
@@ -108,8 +107,11 @@
             self._directory.findings.note(view.peer.node, self._clock.now(), reached=True)
             self._pool.keep(view.address, connection)
 
-    async def run(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
+    async def run(
+        self, view: PeerView, call: RoutedCall, admission: Admission
+    ) -> Outcome | Unheard:
         """Run the request there and learn from what comes back."""
+        outcome: Outcome | Unheard
         view.sent()
         try:
             if view.is_self:
@@ -122,7 +124,7 @@
         self._note(view, outcome)
         return outcome
 
-    def _note(self, view: PeerView, outcome: Outcome) -> None:
+    def _note(self, view: PeerView, outcome: Outcome | Unheard) -> None:
         now = self._clock.now()
         if isinstance(outcome, WholeAnswer):
             view.served()
@@ -133,11 +135,13 @@
         elif isinstance(outcome, Refused) and outcome.code is ResultCode.RETRY_BUDGET_SPENT:
             view.no_repeats_until = now + outcome.retry_after
 
-    async def _run_remote(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
+    async def _run_remote(
+        self, view: PeerView, call: RoutedCall, admission: Admission
+    ) -> Outcome | Unheard:
         connection = await self._connect(view)
         if isinstance(connection, Refused):
             return connection
-        now = self._clock.now()
+        sent = self._clock.now()
         header = HopHeader(
             service=call.service,
             caller_service=call.caller_service,
@@ -145,24 +149,74 @@
             request_id=call.request_id,
             admission=admission,
             priority=call.priority,
-            time_left=call.time_left(now),
-            target_left=call.target_left(now),
+            time_left=call.time_left(sent),
+            target_left=call.target_left(sent),
             configuration=self._sync.version,
             team=call.team,
             arrival=call.arrival,
             sighting=call.sighting,
             by_repeat=call.by_repeat,
         )
-        held_back = call.held_back or view.may_be_silent(now)
         exchange = AdmittedExchange(
-            connection, call, (hop_header.HOP, header.encode()), held_back=held_back
+            connection,
+            call,
+            (hop_header.HOP, header.encode()),
+            held_back=call.held_back or view.may_be_silent(sent),
         )
-        silence = LEAVING_SILENCE_SECONDS if self.leaving and not held_back else 0.0
-        answered = await exchange.run(
-            target_left=header.target_left, timeout=header.time_left, min_silence=silence
+        answered = await exchange.run(target_left=header.target_left, timeout=header.time_left)
+        if answered is not None:
+            return self._take(view, call, connection, answered, sent)
+        self._note_silent(view)
+        waited_ms = self._ms_since(sent)
+        self._log.decision(
+            "hop_unheard", request=call.request_id, peer=view.peer.node, waited_ms=waited_ms
         )
+        hearing = self._hear_out(view, call, connection, exchange, sent)
+        return Unheard(asyncio.ensure_future(hearing))
+
+    async def _hear_out(
+        self,
+        view: PeerView,
+        call: RoutedCall,
+        connection: ClientConnection,
+        exchange: AdmittedExchange,
+        sent: float,
+    ) -> Outcome:
+        view.sent()
+        checking = asyncio.ensure_future(self._close_if_gone(view, connection))
+        try:
+            answered = await exchange.hear_out()
+        finally:
+            checking.cancel()
+            view.ended()
+        outcome = self._take(view, call, connection, answered, sent)
+        if not isinstance(answered, Lost):
+            self._directory.findings.note(view.peer.node, self._clock.now(), reached=True)
+            waited_ms = self._ms_since(sent)
+            self._log.decision(
+                "hop_heard", request=call.request_id, peer=view.peer.node, waited_ms=waited_ms
+            )
+        self._note(view, outcome)
+        return outcome
+
+    async def _close_if_gone(self, view: PeerView, connection: ClientConnection) -> None:
+        """Hear no further where a node takes no connections either, unless this one leaves."""
+        opened = await self._open(view)
+        if not isinstance(opened, Refused):
+            self._pool.keep(view.address, opened)
+        elif not self.leaving:
+            connection.close()
+
+    def _take(
+        self,
+        view: PeerView,
+        call: RoutedCall,
+        connection: ClientConnection,
+        answered: tuple[AnswerHead, bytes] | Refused | Lost,
+        sent: float,
+    ) -> Outcome:
         if isinstance(answered, Lost | Refused):
-            self._note_lost(view, call, answered, self._clock.now() - now)
+            self._note_lost(view, call, answered, sent)
             return answered
         self._pool.keep(view.address, connection)
         head, body = answered
@@ -185,18 +239,28 @@
             )
             return Refused(ResultCode.UNREACHABLE, seconds)
 
+    def _note_silent(self, view: PeerView) -> None:
+        view.silent(self._clock.now())
+        self._note_unreachable(view)
+
+    def _note_unreachable(self, view: PeerView) -> None:
+        view.unreachable(self._clock.now())
+        self._directory.findings.note(view.peer.node, self._clock.now(), reached=False)
+        # Other connections to it may be as dead, and each would cost a request as long.
+        self._pool.forget(view.address)
+
+    def _ms_since(self, moment: float) -> float:
+        return round((self._clock.now() - moment) * 1000.0, 1)
+
     def _note_lost(
-        self, view: PeerView, call: RoutedCall, lost: Lost | Refused, seconds: float
+        self, view: PeerView, call: RoutedCall, lost: Lost | Refused, sent: float
     ) -> None:
         if isinstance(lost, Refused) or lost.is_silent:
             view.silent(self._clock.now())
         if lost.code is not ResultCode.DEADLINE_DURING_RUN:
-            view.unreachable(self._clock.now())
-            self._directory.findings.note(view.peer.node, self._clock.now(), reached=False)
-            # Other connections to it may be as dead, and each would cost a request as long.
-            self._pool.forget(view.address)
+            self._note_unreachable(view)
         peer = view.peer.node
-        waited_ms = round(seconds * 1000.0, 1)
+        waited_ms = self._ms_since(sent)
         if isinstance(lost, Lost):
             self._log.decision(
                 "hop_lost",
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+from asyncio import FIRST_COMPLETED
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Protocol
 
 from hoisthook.mesh.hop_header import Admission
-from hoisthook.mesh.outcome import WholeAnswer
-from hoisthook.node.call import Lost
+from hoisthook.mesh.routed_progress import RoutedProgress
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
-from hoisthook.retry.arrival import Arrival
 
 if TYPE_CHECKING:
-    from hoisthook.identity import NodeId
     from hoisthook.mesh.outcome import Outcome
+    from hoisthook.mesh.outcome import Unheard
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_choice import PeerChoice
     from hoisthook.mesh.routed_call import RoutedCall
@@ -33,26 +33,22 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 # Below this nothing can be run any more.
 MIN_TIME_LEFT_SECONDS = 0.003
-FAILURE_STATUSES = frozenset({500, 502, 503})
-# Refusals that come from the backend server itself, where the request has arrived.
-_ARRIVED_CODES = frozenset({ResultCode.BACKEND_SERVER_SHED, ResultCode.BACKEND_SERVER_REPLACED})
-# Refusals of a direct start by nodes at which the request may still wait.
-_MAY_QUEUE_CODES = frozenset(
-    {
-        ResultCode.SLOTS_FULL,
-        ResultCode.BACKEND_SERVER_SLOW,
-        ResultCode.BACKEND_SERVER_COLD,
-        ResultCode.NODE_LEAVING,
-    }
-)
-# Refusals that hold for all nodes of the service.
-_FINAL_CODES = frozenset({ResultCode.DEADLINE_PASSED, ResultCode.WORK_ENDS_SERVERS})
 
 
 class Hop(Protocol):
-    """Takes requests to nodes."""
+    """Takes requests to nodes.
 
-    async def run(self, view: PeerView, call: RoutedCall, admission: Admission) -> Outcome:
+    Attributes
+    ----------
+    leaving : bool
+        Whether this node is about to stop.
+    """
+
+    leaving: bool
+
+    async def run(
+        self, view: PeerView, call: RoutedCall, admission: Admission
+    ) -> Outcome | Unheard:
         """Run a request at a node and learn from what comes back."""
 
     def probe(self, view: PeerView) -> None:
@@ -84,30 +80,6 @@
     node: str
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What the tries of one request have shown so far."""
-
-    asked: set[NodeId] = field(default_factory=set)
-    left_out: set[NodeId] = field(default_factory=set)
-    queue_tries: int = 0
-    tries: int = 0
-    ran: int = 0
-    rejected: int = 0
-    # Sent whole to a node that was not heard from, where it may run later.
-    unheard: int = 0
-    node: str = ""
-    unknown: Lost | None = None
-    failed: WholeAnswer | None = None
-    soonest: float = float("inf")
-    code: ResultCode = ResultCode.NO_BACKEND_SERVER
-
-    def dispatched(self, outcome: Outcome) -> Dispatched:
-        """Return the last word with what the tries have shown."""
-        arrived = self.ran + self.rejected + self.unheard
-        return Dispatched(outcome, self.tries, self.ran, arrived, self.node)
-
-
 class RoutedDispatcher:
     """Asks the nearest node that is likely to be fast, then others, then waits at one.
 
@@ -115,12 +87,11 @@
     node is asked at once. So it is after a node that was silent or gone before it had said
     that it runs a repeatable request: next to none of these reach a backend server, and with
     the budget spent on them 32 of 1,700 requests of a restart of all were answered 502 though
-    none had run. Some do all the same, over a link that takes longer than the silence that is
-    borne: 11 requests of a day of 24 nodes ran on more backend servers than their routes allow, and
-    none since the last attempt that a route allows is held back, see `AdmittedExchange`. What was
-    admitted and not answered is tried again only if it may be repeated and the route allows another
-    attempt. Each try says whether it would be the first to arrive; whether the service has room for
-    others is known beside its backend servers, see `hoisthook.beside.repeat_limit`.
+    none had run. A silent node is heard out beside the further tries, and the first answer counts:
+    its loop may have stood still, or the way to it be slow. What was admitted and not answered is
+    tried again only if it may be repeated and the route allows another attempt. Each try says
+    whether it would be the first to arrive; whether the service has room for others is known
+    beside its backend servers, see `hoisthook.beside.repeat_limit`.
 
     Parameters
     ----------
@@ -142,25 +113,24 @@
         suspect = self._choice.to_probe(call, self._clock.now())
         if suspect is not None:
             self._hop.probe(suspect)
-        progress = _Progress()
-        while True:
-            step = self._next(call, progress)
-            if step is None:
-                break
-            view, admission = step
-            outcome = await self._try(view, call, admission, progress)
-            if isinstance(outcome, Refused) and admission is Admission.QUEUE:
-                progress.left_out.add(view.peer.node)
-            if not self._goes_on(view, call, outcome, progress):
-                if isinstance(outcome, WholeAnswer):
-                    return progress.dispatched(outcome)
-                break
-        # Not the last outcome alone: after a try that may have run, a refusal says too much.
-        return progress.dispatched(self._conclude(call, progress))
-
-    def _next(self, call: RoutedCall, progress: _Progress) -> tuple[PeerView, Admission] | None:
+        progress = RoutedProgress(call)
+        try:
+            while progress.answer is None:
+                step = self._next(call, progress)
+                if step is not None:
+                    await self._try(*step, call, progress)
+                elif not await self._hear_late(call, progress):
+                    break
+        finally:
+            progress.withdraw()
+        outcome = progress.answer or self._conclude(call, progress)
+        return Dispatched(outcome, progress.tries, progress.ran, progress.arrived, progress.node)
+
+    def _next(
+        self, call: RoutedCall, progress: RoutedProgress
+    ) -> tuple[PeerView, Admission] | None:
         now = self._clock.now()
-        if call.time_left(now) < MIN_TIME_LEFT_SECONDS:
+        if progress.tries_end or call.time_left(now) < MIN_TIME_LEFT_SECONDS:
             return None
         if len(progress.asked) < MAX_NEAR_TRIES:
             view = self._choice.direct(call, progress.asked | progress.left_out, now)
@@ -175,67 +145,59 @@
         return view, Admission.QUEUE
 
     async def _try(
-        self, view: PeerView, call: RoutedCall, admission: Admission, progress: _Progress
-    ) -> Outcome:
+        self, view: PeerView, admission: Admission, call: RoutedCall, progress: RoutedProgress
+    ) -> None:
         progress.tries += 1
         progress.node = view.peer.node
-        return await self._hop.run(view, call, admission)
-
-    def _goes_on(
-        self, view: PeerView, call: RoutedCall, outcome: Outcome, progress: _Progress
-    ) -> bool:
-        """Take in an outcome; return whether another try makes sense."""
-        node = view.peer.node
-        if isinstance(outcome, Refused):
-            progress.asked.add(node)
-            progress.code = outcome.code
-            progress.soonest = min(progress.soonest, outcome.retry_after)
-            if outcome.code in _ARRIVED_CODES:
-                progress.rejected += 1
-                if call.arrival is not Arrival.RERUN:
-                    call.arrival = Arrival.REDIRECTED
-                if outcome.code is ResultCode.BACKEND_SERVER_SHED:
-                    progress.left_out.add(node)
-                return True
-            if outcome.code not in _MAY_QUEUE_CODES:
-                progress.left_out.add(node)
-            return outcome.code not in _FINAL_CODES
-        progress.left_out.add(node)
-        if isinstance(outcome, Lost) and not outcome.admitted:
-            progress.unknown = outcome
-            progress.unheard += 1
-            if outcome.is_silent and call.arrival is Arrival.FIRST:
-                call.arrival = Arrival.UNHEARD
-            call.held_back = progress.unheard + 1 >= call.max_attempts
-            return call.target_left(self._clock.now()) > 0
-        progress.ran += 1
-        if isinstance(outcome, Lost):
-            progress.unknown = outcome
-            return outcome.code is not ResultCode.DEADLINE_DURING_RUN and self._may_repeat(
-                call, progress
-            )
-        if outcome.status not in FAILURE_STATUSES:
+        running = self._hop.run(view, call, admission)
+        if progress.unheard:
+            outcome = await self._first_of(asyncio.ensure_future(running), progress)
+        else:
+            outcome = await running
+        if outcome is None:
+            return
+        if isinstance(outcome, Refused) and admission is Admission.QUEUE:
+            progress.left_out.add(view.peer.node)
+        progress.take(view.peer.node, outcome, self._clock.now())
+
+    async def _first_of(
+        self, trial: asyncio.Future[Outcome | Unheard], progress: RoutedProgress
+    ) -> Outcome | Unheard | None:
+        """Return what becomes of a try; None if a silent node answers before."""
+        try:
+            while progress.answer is None and not trial.done():
+                pending: list[asyncio.Future[Any]] = [trial, *progress.unheard]
+                await asyncio.wait(pending, return_when=FIRST_COMPLETED)
+                progress.take_late(self._clock.now())
+            return trial.result() if trial.done() else None
+        finally:
+            trial.cancel()
+
+    async def _hear_late(self, call: RoutedCall, progress: RoutedProgress) -> bool:
+        """Wait for the silent nodes where nobody else can be tried; return whether one was heard.
+
+        Until the target latency is over: a caller that is told then has time to ask again. A node
+        that leaves hears them out to the deadline: it has no later moment at which to make good
+        a request that it gave up, and its caller would see the shutdown cut it.
+        """
+        if progress.is_refused or not progress.unheard:
             return False
-        progress.failed = outcome
-        return self._may_repeat(call, progress)
-
-    def _may_repeat(self, call: RoutedCall, progress: _Progress) -> bool:
-        if not call.repeatable or progress.ran + progress.unheard >= call.max_attempts:
-            return False
-        call.arrival = Arrival.RERUN
-        return call.target_left(self._clock.now()) > 0
-
-    def _conclude(self, call: RoutedCall, progress: _Progress) -> Outcome:
-        if progress.failed is not None:
-            return progress.failed
-        if progress.unknown is not None:
-            return progress.unknown
+        now = self._clock.now()
+        seconds = call.time_left(now) if self._hop.leaving else call.target_left(now)
+        heard, _ = await asyncio.wait(
+            progress.unheard, timeout=max(0.0, seconds), return_when=FIRST_COMPLETED
+        )
+        progress.take_late(self._clock.now())
+        # It may have been told to leave meanwhile.
+        return bool(heard) or (self._hop.leaving and call.time_left(self._clock.now()) > 0)
+
+    def _conclude(self, call: RoutedCall, progress: RoutedProgress) -> Outcome:
         if progress.tries == 0:
             if call.time_left(self._clock.now()) < MIN_TIME_LEFT_SECONDS:
                 return Refused(ResultCode.DEADLINE_PASSED, 0.0)
             return Refused(ResultCode.NO_BACKEND_SERVER, NO_BACKEND_SERVER_RETRY_SECONDS)
-        return Refused(progress.code, max(MIN_RETRY_AFTER_SECONDS, progress.soonest))
+        return progress.conclude(MIN_RETRY_AFTER_SECONDS)
 
 
-def _is_worth_asking(view: PeerView, progress: _Progress) -> bool:
+def _is_worth_asking(view: PeerView, progress: RoutedProgress) -> bool:
     return view.same_data_centre or len(progress.asked) < MAX_DIRECT_TRIES
