A node that stood still does not run what was withdrawn meanwhile

What callers saw: nothing by itself; backend servers ran requests that had been answered elsewhere, or given up, while the loop of the node beside stood still.

Cause: a request and the end of its connection that are both waiting when a loop wakes are read in two turns; the handler ran in between and sent the request to the backend server before the end was known.

Change: the node beside lets the loop turn once after a whole request and looks whether its sender is there; `hop_withdrawn` tells. What is held back was never concerned: its end is sent only when it is asked for. Cost: one turn a hop.

The same elsewhere: the entry's callers (a run for a caller who has left within the same turn): cancelled by the next turn as before, at most one send. The keyed path: a given-up hedge may reach the backend server the same way; it is repeatable by definition and charged.

--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -76,6 +76,11 @@
         """Return whether the transport can still be used."""
         return not self.lost
 
+    @property
+    def gone(self) -> bool:
+        """Return whether the other side has ended the connection."""
+        return self.lost or (self._transport is not None and self._transport.is_closing())
+
     @property
     def busy(self) -> bool:
         """Return whether a request is being served or read."""
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -92,7 +92,7 @@
     @property
     def gone(self) -> bool:
         """Return whether the other side has dropped the connection."""
-        return self._connection.lost
+        return self._connection.gone
 
     def go_ahead(self) -> None:
         """Ask for a body that is held back; said once, and nothing if none is."""
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -76,6 +77,11 @@
             exchange.abort()
 
     async def _serve(self, exchange: ServerExchange) -> None:
+        """Run a request, unless its sender has withdrawn it before this node looked at it.
+
+        Load pattern: the loop of a node stands still, and other nodes run meanwhile what was sent
+        here. Those requests and the ends of their connections are all read at once afterwards.
+        """
         received = self._clock.now()
         header = HopHeader.decode(exchange.head.get(hop_header.HOP) or b"")
         if header is None:
@@ -90,6 +96,12 @@
         call.is_whole = not held_back
         if not held_back:
             call.body = await exchange.body.read_all(piece_timeout=PIECE_SECONDS)
+            # What came while the loop stood still is read one piece a turn.
+            await asyncio.sleep(0)
+            if exchange.gone:
+                self._log.decision("hop_withdrawn", request=call.request_id, peer=exchange.peer[0])
+                exchange.abort()
+                return
 
         async def admitted() -> None:
             exchange.go_ahead()
--- a/tests/mesh/test_silent_node.py
+++ b/tests/mesh/test_silent_node.py
@@ -163,6 +163,25 @@
     assert (len(server.backend.runs), len(other.backend.runs)) == (1, 1)
 
 
+async def test_node_that_stood_still_does_not_run_what_was_withdrawn_meanwhile(
+    system: MeshSystem,
+) -> None:
+    """Guards against runs of requests that were answered elsewhere while a loop stood still."""
+    server = await system.add("shop")
+    reader, writer = await asyncio.open_connection(*server.node.peers_address)
+    await until(lambda: bool(server.node._peers._connections))
+    # Both arrive before the loop looks at either.
+    writer.write(
+        b"GET /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
+        b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0i 0\r\n\r\n"
+    )
+    writer.write_eof()
+    assert await reader.read() == b""
+    writer.close()
+    assert server.backend.arrivals == []
+    assert [line["request"] for line in system.log.named("hop_withdrawn")] == ["q"]
+
+
 async def test_node_that_is_gone_is_not_heard_out(system: MeshSystem) -> None:
     """What cannot be answered any more is told at once, not held to the target latency."""
     entry, server = await entry_and_server(system)
