A start waits for readers that are there instead of reading the store

What callers saw: nothing directly; where all nodes start at once or machines are busy, each start adds a read in the second in which the store has most to do, and a store at its limit turns away the reads that nodes need to serve.

Cause: a node without a configuration read the store itself as soon as none of its readers had answered within 50 ms. It told neither a reader that is gone from one that is busy, nor the readers' silence from its own: a loop that stands still for 50 ms at the node that starts was enough.

Change: a reader that has taken the connection is waited for until its question is over (0.5 s); a time in which this node stood still is not counted; the store is read at once where no reader takes connections, as before. `configuration_read_at_start` tells why.

Left: a follower whose readers leave three questions unanswered in a row (1.5 s) reads by itself; all followers of a reader that is paused for so long do.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -40,8 +40,8 @@
 MIN_FOLLOW_SECONDS = 0.02
 # A node without a configuration answers its callers 503. It asks all its readers at once, again
 # after this time, doubled up to the usual, while they have none either, and reads by itself if
-# none has answered within the second one. Asked one after the other, readers that are gone cost
-# the last of 32 nodes 0.25 s after a restart of all.
+# none takes a connection within the second one, or none that does answers. Asked one after the
+# other, readers that are gone cost the last of 32 nodes 0.25 s after a restart of all.
 FIRST_FOLLOW_SECONDS = 0.03
 FIRST_ANSWER_SECONDS = 0.05
 MAX_FIRST_FOLLOW_SECONDS = 0.2
@@ -166,21 +166,48 @@
             readers = self._readers.to_ask()
             if not readers:
                 return
-            loop = asyncio.get_running_loop()
-            asking = [loop.create_task(self._ask(reader)) for reader in readers]
-            answered, _ = await asyncio.wait(asking, timeout=FIRST_ANSWER_SECONDS)
-            if self._holder.current is None and not any(task.result() for task in answered):
+            why = await self._ask_all(readers)
+            if self._holder.current is None and why is not None:
+                self._log.event("configuration_read_at_start", readers=len(readers), why=why)
                 await self._read()
             if self._holder.current is None:
                 await self._pause(seconds)
                 seconds = min(MAX_FIRST_FOLLOW_SECONDS, 2 * seconds)
 
+    async def _ask_all(self, readers: list[PeerView]) -> str | None:
+        """Ask readers at once; return why the store has to be read, or None if one has answered.
+
+        Load pattern: nodes start together while machines are busy, so that readers that are there
+        answer late. Each start that did not wait for them would add a read in the second in
+        which the store has most to do.
+        """
+        connected = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        asking = {loop.create_task(self._ask(reader, connected=connected)) for reader in readers}
+        while asking:
+            begun = self._clock.now()
+            patience = None if connected.is_set() else FIRST_ANSWER_SECONDS
+            answered, asking = await asyncio.wait(
+                asking, timeout=patience, return_when=asyncio.FIRST_COMPLETED
+            )
+            if any(task.result() for task in answered):
+                return None
+            # Time in which this node itself stood still says nothing of the readers.
+            late = self._clock.now() - begun - FIRST_ANSWER_SECONDS
+            if not answered and not connected.is_set() and late < FIRST_ANSWER_SECONDS:
+                break
+        return "no reader answers" if connected.is_set() else "no reader takes connections"
+
     async def _pause(self, seconds: float) -> None:
         await asyncio.sleep(seconds * (0.75 + 0.5 * self._randomness.random()))
 
-    async def _ask(self, reader: PeerView, hold: float = 0.0) -> bool:
+    async def _ask(
+        self, reader: PeerView, hold: float = 0.0, connected: asyncio.Event | None = None
+    ) -> bool:
         """Ask a reader, or one that asks it; return whether it answered."""
-        reply = await self._sync.ask(reader.address, wants_news=True, hold=hold)
+        reply = await self._sync.ask(
+            reader.address, wants_news=True, hold=hold, connected=connected
+        )
         if reply is None:
             reader.unreachable(self._clock.now())
             return False
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -200,7 +200,12 @@
             await asyncio.sleep(INTRODUCTION_GAP_SECONDS)
 
     async def ask(
-        self, address: Address, *, wants_news: bool = False, hold: float = 0.0
+        self,
+        address: Address,
+        *,
+        wants_news: bool = False,
+        hold: float = 0.0,
+        connected: asyncio.Event | None = None,
     ) -> SyncReply | None:
         """Ask one peer and take in its answer; None if there is none.
 
@@ -212,11 +217,13 @@
             Whether to ask which nodes there are; a node that knows nobody always does.
         hold : float
             For how many seconds the peer may wait for a change before it answers.
+        connected : asyncio.Event, optional
+            Set once the peer has taken the connection.
         """
         question = self._question(address, wants_news=wants_news)
         if hold > 0:
             question = msgspec.structs.replace(question, hold=hold)
-        return await self._send(address, question)
+        return await self._send(address, question, connected)
 
     async def tell_crashes(self, address: Address) -> bool:
         """Tell a peer what is known of crashes; return whether it has taken it in."""
@@ -225,13 +232,17 @@
         told = msgspec.structs.replace(question, crashes=reports)
         return await self._send(address, told) is not None
 
-    async def _send(self, address: Address, question: SyncQuestion) -> SyncReply | None:
+    async def _send(
+        self, address: Address, question: SyncQuestion, connected: asyncio.Event | None = None
+    ) -> SyncReply | None:
         asked_at = self._clock.now()
         try:
             connection = await self._pool.acquire(address, CONNECT_SECONDS)
         except UnreachableError as error:
             self._log.event("peer_silent", address=address[0], reason=str(error))
             return None
+        if connected is not None:
+            connected.set()
         answered = await exchange_whole(
             connection,
             b"POST",
--- a/tests/mesh/test_store_calls.py
+++ b/tests/mesh/test_store_calls.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
+from typing import Any
 
 import pytest
 
 from hoisthook.exceptions import StoreUnavailableError
 from hoisthook.identity import parse_address
 from hoisthook.mesh import configuration_watch
+from hoisthook.mesh import peer_sync
 from hoisthook.mesh import registration
 from hoisthook.mesh import store_readers
+from hoisthook.mesh.configuration_watch import ConfigurationWatch
+from hoisthook.mesh.peer_sync import PeerSync
 from hoisthook.result_code import ResultCode
 from standin.mesh_store import Outage
 from standin.mesh_system import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
-
+    from hoisthook.adapter.http.server_exchange import ServerExchange
     from standin.mesh_system import MeshSystem
 
 LONG_SECONDS = 60.0
@@ -59,6 +64,71 @@
         before = len(system.store.calls)
 
 
+async def test_starts_beside_slow_readers_do_not_all_read_the_store(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a herd of reads by nodes that start together while machines are busy."""
+    monkeypatch.setattr(peer_sync, "ANSWER_SECONDS", LONG_SECONDS)
+    await calm_system(system)
+    asked: list[object] = []
+    goes_on = asyncio.Event()
+    answer = PeerSync.answer
+
+    async def slow(sync: PeerSync, exchange: ServerExchange) -> None:
+        asked.append(exchange)
+        await goes_on.wait()
+        await answer(sync, exchange)
+
+    before = len(system.store.calls)
+    monkeypatch.setattr(PeerSync, "answer", slow)
+    started = [await system.add("shop", announced=False) for _ in range(NODES)]
+    await until(lambda: len(asked) >= NODES)
+    # Well beyond the time within which a reader that is there is usually heard.
+    await asyncio.sleep(4 * configuration_watch.FIRST_ANSWER_SECONDS)
+    goes_on.set()
+    await system.until_configured(2)
+    readers = [m for m in started if not m.node._watch._readers.to_ask()]
+    # Each reads the list of nodes; one that becomes a reader itself, the configuration too.
+    assert system.store.calls[before:].count("log-newest") <= NODES + len(readers)
+    assert len(readers) < NODES / 2
+    assert system.log.named("configuration_read_at_start") == []
+
+
+async def test_start_on_a_machine_that_stands_still_costs_the_store_two_calls(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against taking the node's own stall for the silence of its readers."""
+    await calm_system(system)
+    ask = ConfigurationWatch._ask
+    stall_seconds = 3 * configuration_watch.FIRST_ANSWER_SECONDS
+
+    async def standing_still(watch: ConfigurationWatch, *args: Any, **named: Any) -> bool:
+        if watch._holder.current is None:
+            # Once the connection is being opened, and before it is known to be open.
+            asyncio.get_running_loop().call_soon(time.sleep, stall_seconds)
+        return await ask(watch, *args, **named)
+
+    monkeypatch.setattr(ConfigurationWatch, "_ask", standing_still)
+    before = len(system.store.calls)
+    machine = await system.add("shop", announced=False)
+    await system.until_configured(2)
+    assert machine.node._watch._readers.to_ask()
+    assert system.store.calls[before:] == ["log-newest", "log-append"]
+
+
+async def test_start_whose_readers_are_gone_reads_the_store_at_once(system: MeshSystem) -> None:
+    await calm_system(system)
+    reader = next(m for m in system.machines if not m.node._watch._readers.to_ask())
+    follower = next(m for m in system.machines if m is not reader)
+    for machine in system.machines:
+        machine.crash()
+    system.machines = [follower]
+    await system.start_again(follower)
+    await system.until_configured(2)
+    (read,) = system.log.named("configuration_read_at_start")
+    assert read["why"] == "no reader takes connections"
+
+
 async def test_restart_costs_the_store_one_call(system: MeshSystem) -> None:
     await calm_system(system)
     follower = next(m for m in system.machines if m.node._watch._readers.to_ask())
