A request whose caller has left is withdrawn from a silent node in every turn

Cause: where the second try ended unheard in the very turn in which its caller left, nobody had taken its outcome in yet, so nobody withdrew it: the exchange stayed open to the deadline.

Test: tests/mesh/test_routed_dispatcher.py, the case in which the second node is silent too, failed before; without a network.

Beside it, without a change of what is done: what belongs to a request under way goes through `PeerHop` as one value.

--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import end_to_end
@@ -48,6 +49,16 @@
 _FRAMING = frozenset({b"content-length"})
 
 
+@dataclass(frozen=True, slots=True)
+class _Sent:
+    """A request on its way to another node."""
+
+    view: PeerView
+    call: RoutedCall
+    connection: ClientConnection
+    moment: float
+
+
 class PeerHop:
     """Runs a request at a node: in this process if it is beside, else one hop away.
 
@@ -141,7 +152,7 @@
         connection = await self._connect(view)
         if isinstance(connection, Refused):
             return connection
-        sent = self._clock.now()
+        now = self._clock.now()
         header = HopHeader(
             service=call.service,
             caller_service=call.caller_service,
@@ -149,8 +160,8 @@
             request_id=call.request_id,
             admission=admission,
             priority=call.priority,
-            time_left=call.time_left(sent),
-            target_left=call.target_left(sent),
+            time_left=call.time_left(now),
+            target_left=call.target_left(now),
             configuration=self._sync.version,
             team=call.team,
             arrival=call.arrival,
@@ -161,66 +172,49 @@
             connection,
             call,
             (hop_header.HOP, header.encode()),
-            held_back=call.held_back or view.may_be_silent(sent),
+            held_back=call.held_back or view.may_be_silent(now),
         )
+        sent = _Sent(view, call, connection, now)
         answered = await exchange.run(target_left=header.target_left, timeout=header.time_left)
         if answered is not None:
-            return self._take(view, call, connection, answered, sent)
-        self._note_silent(view)
-        waited_ms = self._ms_since(sent)
-        self._log.decision(
-            "hop_unheard", request=call.request_id, peer=view.peer.node, waited_ms=waited_ms
-        )
-        hearing = self._hear_out(view, call, connection, exchange, sent)
-        return Unheard(asyncio.ensure_future(hearing))
+            return self._take(sent, answered)
+        view.silent(self._clock.now())
+        self._note_unreachable(view)
+        self._log.decision("hop_unheard", **self._told(sent))
+        return Unheard(asyncio.ensure_future(self._hear_out(sent, exchange)))
 
-    async def _hear_out(
-        self,
-        view: PeerView,
-        call: RoutedCall,
-        connection: ClientConnection,
-        exchange: AdmittedExchange,
-        sent: float,
-    ) -> Outcome:
-        view.sent()
-        checking = asyncio.ensure_future(self._close_if_gone(view, connection))
+    async def _hear_out(self, sent: _Sent, exchange: AdmittedExchange) -> Outcome:
+        """Wait for what a silent node says of a request after all."""
+        sent.view.sent()
+        checking = asyncio.ensure_future(self._close_if_gone(sent))
         try:
             answered = await exchange.hear_out()
         finally:
             checking.cancel()
-            view.ended()
-        outcome = self._take(view, call, connection, answered, sent)
+            sent.view.ended()
+        outcome = self._take(sent, answered)
         if not isinstance(answered, Lost):
-            self._directory.findings.note(view.peer.node, self._clock.now(), reached=True)
-            waited_ms = self._ms_since(sent)
-            self._log.decision(
-                "hop_heard", request=call.request_id, peer=view.peer.node, waited_ms=waited_ms
-            )
-        self._note(view, outcome)
+            node = sent.view.peer.node
+            self._directory.findings.note(node, self._clock.now(), reached=True)
+            self._log.decision("hop_heard", **self._told(sent))
+        self._note(sent.view, outcome)
         return outcome
 
-    async def _close_if_gone(self, view: PeerView, connection: ClientConnection) -> None:
+    async def _close_if_gone(self, sent: _Sent) -> None:
         """Hear no further where a node takes no connections either, unless this one leaves."""
-        opened = await self._open(view)
+        opened = await self._open(sent.view)
         if not isinstance(opened, Refused):
-            self._pool.keep(view.address, opened)
+            self._pool.keep(sent.view.address, opened)
         elif not self.leaving:
-            connection.close()
+            sent.connection.close()
 
-    def _take(
-        self,
-        view: PeerView,
-        call: RoutedCall,
-        connection: ClientConnection,
-        answered: tuple[AnswerHead, bytes] | Refused | Lost,
-        sent: float,
-    ) -> Outcome:
+    def _take(self, sent: _Sent, answered: tuple[AnswerHead, bytes] | Refused | Lost) -> Outcome:
         if isinstance(answered, Lost | Refused):
-            self._note_lost(view, call, answered, sent)
+            self._note_lost(sent, answered)
             return answered
-        self._pool.keep(view.address, connection)
+        self._pool.keep(sent.view.address, sent.connection)
         head, body = answered
-        return self._read(view, call, head, body)
+        return self._read(sent.view, sent.call, head, body)
 
     async def _connect(self, view: PeerView) -> ClientConnection | Refused:
         connection = self._pool.take_idle(view.address)
@@ -239,47 +233,36 @@
             )
             return Refused(ResultCode.UNREACHABLE, seconds)
 
-    def _note_silent(self, view: PeerView) -> None:
-        view.silent(self._clock.now())
-        self._note_unreachable(view)
-
     def _note_unreachable(self, view: PeerView) -> None:
         view.unreachable(self._clock.now())
         self._directory.findings.note(view.peer.node, self._clock.now(), reached=False)
         # Other connections to it may be as dead, and each would cost a request as long.
         self._pool.forget(view.address)
 
-    def _ms_since(self, moment: float) -> float:
-        return round((self._clock.now() - moment) * 1000.0, 1)
-
-    def _note_lost(
-        self, view: PeerView, call: RoutedCall, lost: Lost | Refused, sent: float
-    ) -> None:
+    def _note_lost(self, sent: _Sent, lost: Lost | Refused) -> None:
         if isinstance(lost, Refused) or lost.is_silent:
-            view.silent(self._clock.now())
+            sent.view.silent(self._clock.now())
         if lost.code is not ResultCode.DEADLINE_DURING_RUN:
-            self._note_unreachable(view)
-        peer = view.peer.node
-        waited_ms = self._ms_since(sent)
-        if isinstance(lost, Lost):
-            self._log.decision(
-                "hop_lost",
-                request=call.request_id,
-                peer=peer,
-                code=lost.code.number,
-                admitted=lost.admitted,
-                silent=lost.is_silent,
-                waited_ms=waited_ms,
-                leaving=self.leaving,
-            )
-        else:
-            self._log.decision(
-                "hop_silent",
-                request=call.request_id,
-                peer=peer,
-                code=lost.code.number,
-                waited_ms=waited_ms,
-            )
+            self._note_unreachable(sent.view)
+        if isinstance(lost, Refused):
+            self._log.decision("hop_silent", code=lost.code.number, **self._told(sent))
+            return
+        self._log.decision(
+            "hop_lost",
+            code=lost.code.number,
+            admitted=lost.admitted,
+            silent=lost.is_silent,
+            leaving=self.leaving,
+            **self._told(sent),
+        )
+
+    def _told(self, sent: _Sent) -> dict[str, object]:
+        """Return what each line about a request at another node says."""
+        return {
+            "request": sent.call.request_id,
+            "peer": sent.view.peer.node,
+            "waited_ms": round((self._clock.now() - sent.moment) * 1000.0, 1),
+        }
 
     def _read(self, view: PeerView, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
         load = BesideLoad.decode(head.get(hop_header.LOAD) or b"")
--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -10,13 +10,13 @@
 from typing import Protocol
 
 from hoisthook.mesh.hop_header import Admission
+from hoisthook.mesh.outcome import Unheard
 from hoisthook.mesh.routed_progress import RoutedProgress
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
     from hoisthook.mesh.outcome import Outcome
-    from hoisthook.mesh.outcome import Unheard
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_choice import PeerChoice
     from hoisthook.mesh.routed_call import RoutedCall
@@ -170,6 +170,9 @@
                 await asyncio.wait(pending, return_when=FIRST_COMPLETED)
                 progress.take_late(self._clock.now())
             return trial.result() if trial.done() else None
+        except asyncio.CancelledError:
+            trial.add_done_callback(_withdraw)
+            raise
         finally:
             trial.cancel()
 
@@ -201,3 +204,12 @@
 
 def _is_worth_asking(view: PeerView, progress: RoutedProgress) -> bool:
     return view.same_data_centre or len(progress.asked) < MAX_DIRECT_TRIES
+
+
+def _withdraw(trial: asyncio.Future[Outcome | Unheard]) -> None:
+    """Withdraw a request that nobody waits for any more, also from a silent node."""
+    if trial.cancelled() or trial.exception() is not None:
+        return
+    outcome = trial.result()
+    if isinstance(outcome, Unheard):
+        outcome.heard.cancel()
--- /dev/null
+++ b/tests/mesh/test_routed_dispatcher.py
@@ -0,0 +1,93 @@
+"""Tries of a request beside a node that is silent, without a network."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from hoisthook.identity import DataCentre
+from hoisthook.identity import NodeId
+from hoisthook.identity import ServiceName
+from hoisthook.mesh.outcome import Outcome
+from hoisthook.mesh.outcome import Unheard
+from hoisthook.mesh.peer import Peer
+from hoisthook.mesh.peer import PeerView
+from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
+from hoisthook.node.loop_clock import LoopClock
+from tests.mesh.test_routed_progress import progress
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from hoisthook.mesh.hop_header import Admission
+    from hoisthook.mesh.routed_call import RoutedCall
+
+
+class Nodes:
+    """Two nodes: the first is silent for good, and so is the second once it goes on."""
+
+    leaving = False
+
+    def __init__(self) -> None:
+        self.views = [
+            PeerView(
+                Peer(NodeId(name), f"127.0.0.1:{port}", ServiceName("shop"), DataCentre("one")),
+                is_self=False,
+                same_data_centre=True,
+            )
+            for port, name in enumerate(("first", "second"), start=1)
+        ]
+        self.unheard: list[asyncio.Task[Outcome]] = []
+        self.second_asked = asyncio.Event()
+        self.second_goes_on = asyncio.Event()
+
+    def to_probe(self, call: RoutedCall, now: float) -> PeerView | None:
+        return None
+
+    def direct(self, call: RoutedCall, left_out: Collection[NodeId], now: float) -> PeerView | None:
+        return next((view for view in self.views if view.peer.node not in left_out), None)
+
+    def queue(self, call: RoutedCall, left_out: Collection[NodeId], now: float) -> PeerView | None:
+        return None
+
+    def probe(self, view: PeerView) -> None:
+        pass
+
+    async def run(
+        self, view: PeerView, call: RoutedCall, admission: Admission
+    ) -> Outcome | Unheard:
+        if view is self.views[1]:
+            self.second_asked.set()
+            await self.second_goes_on.wait()
+        task = asyncio.ensure_future(self._silence())
+        self.unheard.append(task)
+        return Unheard(task)
+
+    async def _silence(self) -> Outcome:
+        await asyncio.Event().wait()
+        raise AssertionError
+
+
+@pytest.mark.parametrize("is_silent_too", [False, True])
+async def test_request_whose_caller_has_left_is_withdrawn_from_silent_nodes(
+    is_silent_too: bool,
+) -> None:
+    """Guards against runs for callers who have left, whatever the second try has come to."""
+    nodes = Nodes()
+    call = progress(max_attempts=3, target=60.0).call
+    call.received = asyncio.get_running_loop().time()
+    call.deadline = call.received + 60.0
+    dispatcher = RoutedDispatcher(nodes, nodes, LoopClock())  # type: ignore[arg-type]
+    running = asyncio.ensure_future(dispatcher.dispatch(call))
+    await nodes.second_asked.wait()
+    if is_silent_too:
+        nodes.second_goes_on.set()
+        # The second try is over, and its outcome is not taken in yet.
+        while len(nodes.unheard) < 2:
+            await asyncio.sleep(0)
+    running.cancel()
+    await asyncio.wait([running])
+    await asyncio.wait(nodes.unheard, timeout=5.0)
+    assert [task.cancelled() for task in nodes.unheard] == [True] * (1 + is_silent_too)
