--- a/tests/tool/test_known_red.py
+++ b/tests/tool/test_known_red.py
@@ -33,7 +33,9 @@
     path: Path = pytester.path / "KNOWN-RED.txt"
     path.write_text(listed)
     return pytester.runpytest_inprocess(
-        "-p", "tool.known_red", "--known-red", str(path), "-p", "no:xdist", "-p", "no:cacheprovider"
+        *("-p", "tool.known_red", "--known-red", str(path)),
+        *("-p", "no:xdist", "-p", "no:cacheprovider"),
+        *("-o", "asyncio_default_fixture_loop_scope=function"),
     )
 
 
