--- a/src/hoisthook/beside/repeat_limit.py
+++ b/src/hoisthook/beside/repeat_limit.py
@@ -204,4 +204,5 @@
             level=round(self._budget.level(now), 2),
             part=round(self._budget.part, 2),
             nodes=self._shared_by,
+            callers=round(self._callers.share(call.route), 2),
         )
