Soak: a start that was cancelled no longer keeps its place empty

Callers saw nothing: the fault was in the soak's own tool.

Cause: RejectingService.stop cancels its killing in series. Where that was between two starts, MeshCluster.start_node left its mark "being started" behind, every later start of the place returned at once, and no node ever ran there again.

Change: the mark goes however the start ends. The finding now names the service, the place and whether its process runs, so a node that doesn't serve can be told from a place without one. The check is unchanged.

The same pattern was looked for in the product and the other stand-ins: no other mark is held over an await without being taken back.

--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -127,16 +127,28 @@
         place.is_starting = True
         path = self.folder / f"{place.name}.toml"
         path.write_text(self._settings(place))
-        with (self.folder / f"{place.name}.log").open("ab") as lines:
-            place.process = await asyncio.create_subprocess_exec(
-                *[sys.executable, str(PROGRAM)],
-                stdout=lines,
-                stderr=lines,
-                env={**os.environ, "HOISTHOOK_BOOT": str(path)},
-            )
-        place.is_starting = False
+        try:
+            with (self.folder / f"{place.name}.log").open("ab") as lines:
+                place.process = await asyncio.create_subprocess_exec(
+                    *[sys.executable, str(PROGRAM)],
+                    stdout=lines,
+                    stderr=lines,
+                    env={**os.environ, "HOISTHOOK_BOOT": str(path)},
+                )
+        finally:
+            place.is_starting = False
         place.first_start = False
 
+    def describe(self, place: MeshPlace) -> str:
+        """Return a place's name and what its process is doing."""
+        if place.is_starting:
+            return f"{place.name} (being started)"
+        if place.process is None:
+            return f"{place.name} (never started)"
+        if place.process.returncode is None:
+            return f"{place.name} (process {place.process.pid} runs)"
+        return f"{place.name} (process ended with {place.process.returncode})"
+
     async def kill(self, place: MeshPlace) -> None:
         """Kill the node of a place."""
         if place.process is not None and place.process.returncode is None:
--- a/standin/soak.py
+++ b/standin/soak.py
@@ -17,6 +17,7 @@
 import sys
 import time
 from collections import Counter
+from collections import deque
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -282,14 +283,19 @@
         """All nodes serve all services by the newest version within the bound."""
         self._version += 1
         self.cluster.publish(self._version, [RouteOptions("shop", host="new.example")])
+        services = [*SMALL.count_by_service, "new"]
+        unserved = deque((place, name) for place in self.cluster.places for name in services)
         try:
             async with asyncio.timeout(RECOVERY_SECONDS):
-                for place in self.cluster.places:
-                    for service in [*SMALL.count_by_service, "new"]:
-                        while not await self._load.serves(place, service):
-                            await asyncio.sleep(0.1)
+                while unserved:
+                    if await self._load.serves(*unserved[0]):
+                        unserved.popleft()
+                    else:
+                        await asyncio.sleep(0.1)
         except TimeoutError:
-            self.findings.broken.append("not all served again in time")
+            place, service = unserved[0]
+            told = f"not all served again in time: {service} at {self.cluster.describe(place)}"
+            self.findings.broken.append(told)
 
     def _check_runs(self) -> None:
         runs = Counter(run for place in self.cluster.places for run in place.backend.runs)
