--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from hoisthook.exceptions import UnreachableError
-from hoisthook.membership.suspicion import SuspicionTable
 from hoisthook.mesh.peer_message import log_unreadable
 from hoisthook.mesh.peer_message import read_message
+from hoisthook.mesh.sync_answers import SyncAnswers
 from hoisthook.mesh.sync_messages import SyncQuestion
 from hoisthook.mesh.sync_messages import SyncReply
 from hoisthook.mesh.sync_messages import decode_message
@@ -27,10 +27,7 @@
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
-    from hoisthook.identity import DataCentre
-    from hoisthook.identity import NodeId
     from hoisthook.membership.store_era import StoreEra
-    from hoisthook.mesh.peer import Peer
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.port.clock import Clock
@@ -125,8 +122,17 @@
         self._asking: asyncio.Task[None] | None = None
         self._process = f"{randomness.getrandbits(64):016x}"
         self._had_by_address: dict[Address, _Had] = {}
-        self._suspicions = SuspicionTable()
-        self._process_by_asker: dict[NodeId, str] = {}
+        self._answers = SyncAnswers(
+            self._process,
+            directory,
+            configuration,
+            evacuations,
+            exchange,
+            crashes,
+            era,
+            lease,
+            clock,
+        )
         self._clock = clock
         self._changed = asyncio.Event()
         # After the exchange has taken the change in, so that who waits is told of it.
@@ -309,35 +315,12 @@
         if question.peers:
             self._directory.is_whole = True
             self._directory.told.set()
-        # Before the hold: findings bear their age at the moment of the question.
-        self._take_findings(question)
-        self._crashes.merge(question.crashes, self._clock.now())
-        self._era.heard(question.era)
-        if question.hold > 0 and not self._has_changes_for(question):
+        self._answers.take(question)
+        if question.hold > 0 and not self._answers.has_changes_for(question):
             await self._wait_for_change(min(question.hold, MAX_HOLD_SECONDS))
-        suspected, cleared = self._suspicions_for(question)
-        reply = SyncReply(
-            self._news_for(question),
-            self._process,
-            self._directory.revision,
-            self._exchange.since(question.configuration),
-            self.store_away,
-            self._suspicions.revision,
-            suspected,
-            cleared,
-            *self._evacuations_for(question),
-            *self._crashes_for(question),
-            confirmed=self._lease.age(self._clock.now()),
-            era=self._era.current,
-        )
+        reply = self._answers.reply_to(question, store_away=self.store_away)
         exchange.respond(200, [], encode_message(reply))
 
-    def _has_changes_for(self, question: SyncQuestion) -> bool:
-        return (
-            self.version > question.configuration
-            or self._evacuations.revision > question.evacuations
-        )
-
     async def _wait_for_change(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
@@ -349,52 +332,6 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _evacuations_for(self, question: SyncQuestion) -> tuple[int, list[DataCentre]]:
-        known = self._evacuations
-        if known.revision <= question.evacuations:
-            return -1, []
-        return known.revision, sorted(known.data_centres)
-
-    def _crashes_for(self, question: SyncQuestion) -> tuple[int, list[CrashReport]]:
-        service = question.sender.service
-        digest = self._crashes.digest(service)
-        if digest == question.crash_digest:
-            return digest, []
-        return digest, self._crashes.reports(service, self._clock.now())
-
-    def _take_findings(self, question: SyncQuestion) -> None:
-        """Take in the asker's findings and this node's own."""
-        table = self._suspicions
-        now = self._clock.now()
-        before = table.revision
-        asker = question.sender.node
-        if self._process_by_asker.get(asker) != question.process:
-            # It has just started, so it takes connections again.
-            self._process_by_asker[asker] = question.process
-            table.reached(asker, now)
-        table.report(asker, question.findings, now)
-        self._directory.findings.relay(asker, question.findings, now)
-        table.report(self._directory.me.node, self._directory.findings.current(now), now)
-        suspected, cleared = table.since(before)
-        self._directory.others_suspect(suspected, now)
-        self._directory.others_reached(cleared)
-
-    def _suspicions_for(self, question: SyncQuestion) -> tuple[list[NodeId], list[NodeId]]:
-        """Return the nodes suspected and those cleared, as far as the asker has not heard."""
-        if not question.wants_news:
-            return [], []
-        return self._suspicions.since(
-            question.suspicions if question.source == self._process else 0
-        )
-
-    def _news_for(self, question: SyncQuestion) -> list[Peer]:
-        directory = self._directory
-        if not question.wants_news or question.digest == directory.digest:
-            return []
-        if question.source == self._process:
-            return directory.peers_since(question.revision)
-        return directory.peers()
-
     def _read(self, data: bytes) -> SyncReply | None:
         try:
             return decode_message(data, SyncReply)
@@ -406,12 +343,7 @@
         self._directory.merge(reply.peers, "peer")
         self._era.heard(reply.era)
         now = self._clock.now()
-        # Handed on to those that ask here.
-        self._directory.others_suspect(self._suspicions.adopt(reply.suspected, now), now)
-        self._directory.others_reached(reply.cleared)
-        # Where this node is a reader too, its own table knows by it which findings are old.
-        for node in reply.cleared:
-            self._suspicions.reached(node, self._clock.now())
+        self._answers.take_suspicions(reply)
         self._crashes.merge(reply.crashes, now)
         known = self._crashes.digest(self._directory.me.service)
         self._tells_crashes = known not in (0, reply.crash_digest)
--- a/tests/mesh/test_crash_news.py
+++ b/tests/mesh/test_crash_news.py
@@ -174,4 +174,4 @@
     await knows.node.sync.tell_crashes(other.node.peers_address)
     question = knows.node.sync._question(other.node.peers_address, wants_news=True)
     assert question.crashes == []
-    assert other.node.sync._crashes_for(question)[1] == []
+    assert other.node.sync._answers.reply_to(question, store_away=False).crashes == []
