Repeats ask no further node of a service that admits hardly any

Hypothesis: what the entry's other requests have just met tells it as well.

Change: RoutedDispatcher learns which share of its repeats a service admitted within the last second or so; below a fifth a repeat that was refused is told to its caller instead of asking on. Each repeat still asks once, which is enough to use up what there is.

--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -14,6 +14,7 @@
 from hoisthook.mesh.routed_progress import RoutedProgress
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
+from hoisthook.routing.try_yield import TryYield
 
 if TYPE_CHECKING:
     from hoisthook.mesh.outcome import Outcome
@@ -33,6 +34,9 @@
 MIN_RETRY_AFTER_SECONDS = 0.05
 # Below this nothing can be run any more.
 MIN_TIME_LEFT_SECONDS = 0.003
+# What tells whether a service has room for repeats: an answer, or a refusal by the backend server
+# itself or for want of that room.
+_DECIDED_CODES = frozenset({None, ResultCode.BACKEND_SERVER_SHED, ResultCode.RETRY_BUDGET_SPENT})
 
 
 class Hop(Protocol):
@@ -107,6 +111,7 @@
         self._choice = choice
         self._hop = hop
         self._clock = clock
+        self._repeat_yield = TryYield()
 
     async def dispatch(self, call: RoutedCall) -> Dispatched:
         """Run the request somewhere, or say what is known of it."""
@@ -132,6 +137,8 @@
         now = self._clock.now()
         if progress.tries_end or call.time_left(now) < MIN_TIME_LEFT_SECONDS:
             return None
+        if self._is_repeated_in_vain(call, progress, now):
+            return None
         if len(progress.asked) < MAX_NEAR_TRIES:
             view = self._choice.direct(call, progress.asked | progress.left_out, now)
             if view is not None and _is_worth_asking(view, progress):
@@ -144,6 +151,11 @@
         progress.queue_tries += 1
         return view, Admission.QUEUE
 
+    def _is_repeated_in_vain(self, call: RoutedCall, progress: RoutedProgress, now: float) -> bool:
+        if not call.arrival.is_repeat or not progress.refused_repeats:
+            return False
+        return not self._repeat_yield.is_worth_another(call.service, now)
+
     async def _try(
         self, view: PeerView, admission: Admission, call: RoutedCall, progress: RoutedProgress
     ) -> None:
@@ -158,7 +170,18 @@
             return
         if isinstance(outcome, Refused) and admission is Admission.QUEUE:
             progress.left_out.add(view.peer.node)
-        progress.take(view.peer.node, outcome, self._clock.now())
+        now = self._clock.now()
+        self._learn(call, outcome, now)
+        progress.take(view.peer.node, outcome, now)
+
+    def _learn(self, call: RoutedCall, outcome: Outcome | Unheard, now: float) -> None:
+        """Learn from a repeat whether its service has room for others."""
+        if not call.arrival.is_repeat or isinstance(outcome, Unheard):
+            return
+        code = outcome.code if isinstance(outcome, Refused) else None
+        if code in _DECIDED_CODES:
+            is_admitted = code is not ResultCode.RETRY_BUDGET_SPENT
+            self._repeat_yield.note(call.service, now, is_admitted=is_admitted)
 
     async def _first_of(
         self, trial: asyncio.Future[Outcome | Unheard], progress: RoutedProgress
--- a/src/hoisthook/mesh/routed_progress.py
+++ b/src/hoisthook/mesh/routed_progress.py
@@ -54,6 +54,8 @@
         Backend servers that may have run it.
     rejected : int
         Backend servers that have rejected it.
+    refused_repeats : int
+        Nodes at which the budget of repeats had no room for it.
     lost_unheard : int
         Nodes that it was sent to whole and that were lost before they had said that they run it.
     unheard : dict
@@ -75,6 +77,7 @@
     tries: int = 0
     ran: int = 0
     rejected: int = 0
+    refused_repeats: int = 0
     lost_unheard: int = 0
     unheard: dict[asyncio.Task[Outcome], NodeId] = field(default_factory=dict)
     node: str = ""
@@ -151,6 +154,8 @@
         self.asked.add(node)
         self._code = refused.code
         self._soonest = min(self._soonest, refused.retry_after)
+        if refused.code is ResultCode.RETRY_BUDGET_SPENT:
+            self.refused_repeats += 1
         if refused.code in _ARRIVED_CODES:
             self.rejected += 1
             if self.call.arrival is not Arrival.RERUN:
