--- a/tests/mesh/test_silent_node.py
+++ b/tests/mesh/test_silent_node.py
@@ -75,6 +75,17 @@
     )
 
 
+async def ask_a_node_that_stands_still(
+    system: MeshSystem,
+) -> tuple[Machine, Stall, asyncio.Task[tuple[int, dict[bytes, bytes], bytes]]]:
+    """Return the node, its stall, and a request that is held there."""
+    entry, server = await entry_and_server(system)
+    stall = Stall(server)
+    asked = ask(system, entry)
+    await stall.reached.wait()
+    return server, stall, asked
+
+
 def is_silent(system: MeshSystem) -> bool:
     """Return whether the sender has borne the silence for as long as it does."""
     return bool(system.log.named("hop_unheard") or system.log.named("hop_lost"))
@@ -118,10 +129,7 @@
 
 async def test_silent_node_answers_what_another_one_has_no_room_for(system: MeshSystem) -> None:
     """Guards against 502 where the other nodes refuse and the silent one comes back."""
-    entry, server = await entry_and_server(system)
-    stall = Stall(server)
-    asked = ask(system, entry)
-    await stall.reached.wait()
+    server, stall, asked = await ask_a_node_that_stands_still(system)
     other = await system.add("shop", data_centre="three")
     other.backend.fault = Fault.SHED
     system.introduce_all()
@@ -134,10 +142,7 @@
 async def test_first_answer_counts_where_another_node_runs_what_a_silent_one_was_sent(
     system: MeshSystem,
 ) -> None:
-    entry, server = await entry_and_server(system)
-    stall = Stall(server)
-    asked = ask(system, entry)
-    await stall.reached.wait()
+    _, stall, asked = await ask_a_node_that_stands_still(system)
     other = await system.add("shop", data_centre="three")
     system.introduce_all()
     assert (await asked)[0] == 200
@@ -149,10 +154,7 @@
 async def test_silent_node_answers_before_another_one_has_done_the_work(
     system: MeshSystem,
 ) -> None:
-    entry, server = await entry_and_server(system)
-    stall = Stall(server)
-    asked = ask(system, entry)
-    await stall.reached.wait()
+    server, stall, asked = await ask_a_node_that_stands_still(system)
     other = await system.add("shop", data_centre="three")
     other.backend.go_on.clear()
     system.introduce_all()
@@ -184,10 +186,7 @@
 
 async def test_node_that_is_gone_is_not_heard_out(system: MeshSystem) -> None:
     """What cannot be answered any more is told at once, not held to the target latency."""
-    entry, server = await entry_and_server(system)
-    stall = Stall(server)
-    asked = ask(system, entry)
-    await stall.reached.wait()
+    server, stall, asked = await ask_a_node_that_stands_still(system)
     server.node._peers.stop_listening()
     # Long before the target latency is over.
     await until(asked.done)
@@ -200,10 +199,7 @@
     system: MeshSystem,
 ) -> None:
     """Guards against a third run where one of two was not heard from and the other failed."""
-    entry, server = await entry_and_server(system)
-    stall = Stall(server)
-    asked = ask(system, entry)
-    await stall.reached.wait()
+    _, stall, asked = await ask_a_node_that_stands_still(system)
     others = [await system.add("shop", data_centre=f"dc-{number}") for number in range(2)]
     for other in others:
         other.backend.fault = Fault.ERROR
