The stand-in of the platform's system is in three pieces

mesh_system.py held, in 395 lines, nodes and what surrounds them, what operators publish, and ports. No test changes but its imports; those of mesh, platform, teams, process and docs pass.

--- a/benchmark/crashing.py
+++ b/benchmark/crashing.py
@@ -21,7 +21,7 @@
 from hoisthook.mesh import crash_news
 from hoisthook.retry import crash_evidence
 from standin.mesh_system import MeshSystem
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import Machine
--- a/benchmark/mesh_capacity.py
+++ b/benchmark/mesh_capacity.py
@@ -31,8 +31,8 @@
 from hoisthook.mesh.routed_call import RoutedCall
 from hoisthook.traffic.evacuations import Evacuations
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import configuration
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/benchmark/spreading.py
+++ b/benchmark/spreading.py
@@ -22,8 +22,8 @@
 from hoisthook.traffic.configuration_history import ConfigurationHistory
 from hoisthook.traffic.configuration_parts import NO_VERSION
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import configuration
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -18,12 +18,12 @@
 from hoisthook.identity import parse_address
 from hoisthook.mesh.whole_exchange import exchange_whole
 from hoisthook.node.call import Lost
+from standin.loopback_ports import free_address
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_store import StoreStandin
 from standin.mesh_system import NODES_TOPIC
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import configuration
-from standin.mesh_system import free_address
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import configuration
 
 if TYPE_CHECKING:
     from hoisthook.identity import Address
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
 from typing import TYPE_CHECKING
 
-import msgspec
 from hoisthook_platform.backend_wire import PlatformBackendWire
 from hoisthook_platform.caller_wire import PlatformCallerWire
 from hoisthook_platform.configuration_record import KEY
@@ -32,24 +29,25 @@
 from hoisthook.settings.mesh_settings import MeshSettings
 from hoisthook.settings.mesh_settings import MeshTeamSettings
 from hoisthook.settings.mesh_settings import StoreSettings
+from standin.loopback_ports import HOST
+from standin.loopback_ports import free_address
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_store import StoreStandin
+from standin.published_configuration import configuration
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from hoisthook.adapter.http.message import Header
     from hoisthook.port.event_log import EventLog
+    from standin.published_configuration import RouteOptions
+    from standin.published_configuration import TeamOptions
 
-HOST = "127.0.0.1"
 NODES_TOPIC = "keyed.nodes"
 EVACUATION_PREFIX = "evacuate/"
 # So many that a node has saved up some reruns within milliseconds of its start.
 RETRY_EXTRA = 1_000_000.0
 ANY_PORT = f"{HOST}:0"
-FIRST_PORT = 10_000
-LAST_PORT = 30_000
-PORTS_PER_PROCESS = 131
 
 
 class ListLog:
@@ -71,111 +69,6 @@
         return [fields for line, fields in self.lines if line == name]
 
 
-class RouteOptions(msgspec.Struct, frozen=True):
-    """A route to publish.
-
-    Attributes
-    ----------
-    service : str
-        Who runs it.
-    host, prefix : str
-        What it takes.
-    safe : bool
-        Whether its requests may be repeated.
-    public : bool
-        Whether they need no key.
-    timeout, target : float
-        Seconds.
-    priority, attempts : int
-        As in the configuration.
-    weights : dict
-        In place of ``service`` where the route is split.
-    cold_per_second : float or None
-        What operators say that a cold backend server of the service bears.
-    """
-
-    service: str
-    host: str = "a.example"
-    prefix: str = "/"
-    safe: bool = True
-    timeout: float = 2.0
-    target: float = 1.0
-    priority: int = 1
-    attempts: int = 2
-    weights: dict[str, float] = {}
-    cold_per_second: float | None = None
-    public: bool = False
-
-
-class TeamOptions(msgspec.Struct, frozen=True):
-    """A team to publish.
-
-    Attributes
-    ----------
-    name : str
-        Its name.
-    keys : tuple of str
-        Its keys.
-    priority : int
-        Its rank.
-    per_second, burst : float
-        Its quota; 0 a second for none.
-    """
-
-    name: str
-    keys: tuple[str, ...]
-    priority: int = 1
-    per_second: float = 0.0
-    burst: float = 0.0
-
-
-def configuration(version: int, *routes: RouteOptions, teams: Iterable[TeamOptions] = ()) -> bytes:
-    """Return a configuration as operators publish it."""
-    resources: list[dict[str, object]] = []
-    cold_by_service: dict[str, float | None] = {}
-    for number, route in enumerate(routes):
-        spec: dict[str, object] = {
-            "host": route.host,
-            "pathPrefix": route.prefix,
-            "kind": "safe" if route.safe else "unsafe",
-            "timeoutS": route.timeout,
-            "targetLatencyS": route.target,
-            "priority": route.priority,
-            "maxAttempts": route.attempts,
-            "public": route.public,
-        }
-        if route.weights:
-            spec["weightedServices"] = [
-                {"service": name, "weight": weight} for name, weight in route.weights.items()
-            ]
-        else:
-            spec["service"] = route.service
-        for name in route.weights or [route.service]:
-            cold_by_service[name] = route.cold_per_second
-        resources.append({"type": "routes", "metadata": {"name": f"r-{number}"}, "spec": spec})
-    for name, cold in sorted(cold_by_service.items()):
-        traits: dict[str, object] = {"healthPath": "/healthz", "maxConnections": 100}
-        if cold is not None:
-            traits["coldPerS"] = cold
-        resources.append({"type": "services", "metadata": {"name": name}, "spec": traits})
-    for team in teams:
-        holder = {
-            "apiKeys": list(team.keys),
-            "priority": team.priority,
-            "ratePerS": team.per_second,
-            "burst": team.burst,
-        }
-        resources.append({"type": "tenants", "metadata": {"name": team.name}, "spec": holder})
-    limits = {
-        "maxHeaderBytes": 8192,
-        "maxBodyBytes": 100_000,
-        "headerTimeoutS": 3,
-        "idleTimeoutS": 15,
-    }
-    resources.append({"type": "limits", "metadata": {}, "spec": limits})
-    return msgspec.json.encode({"version": version, "baseVersion": 0, "resources": resources})
-
-
 class Machine:
     """One node and the backend server beside it."""
 
@@ -370,26 +263,3 @@
             log=log,
         )
         return Machine(node, LocalEndpoints(node, log), backend)
-
-
-_given: set[int] = set()
-
-
-def free_address() -> str:
-    """Return an address on loopback that nothing listens on.
-
-    The port is below those that the system gives to outgoing connections, so that none of
-    them takes it before its listener does; processes side by side begin at their own ids.
-    """
-    for offset in range(LAST_PORT - FIRST_PORT):
-        port = FIRST_PORT + (os.getpid() * PORTS_PER_PROCESS + offset) % (LAST_PORT - FIRST_PORT)
-        if port in _given:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        _given.add(port)
-        return format_address((HOST, port))
-    raise OSError("no free port on loopback")
--- a/standin/soak.py
+++ b/standin/soak.py
@@ -34,7 +34,7 @@
 from standin.mesh_store import Outage
 from standin.mesh_store import split_record
 from standin.mesh_system import NODES_TOPIC
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from standin.soak_crashes import CrashingCaller
 from standin.soak_load import Findings
 from standin.soak_load import SoakLoad
--- a/tests/adapter/test_loop_errors.py
+++ b/tests/adapter/test_loop_errors.py
@@ -7,7 +7,7 @@
 
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.loop_errors import log_loop_errors
-from standin.mesh_system import HOST
+from standin.loopback_ports import HOST
 from standin.mesh_system import ListLog
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -11,9 +11,9 @@
 from hoisthook.identity import ServiceName
 from hoisthook.mesh.peer import Peer
 from hoisthook.settings.mesh_settings import MeshRetrySettings
+from standin.loopback_ports import HOST
 from standin.mesh_backend import Fault
-from standin.mesh_system import HOST
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/mesh/test_cold_backend.py
+++ b/tests/mesh/test_cold_backend.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.settings.mesh_settings import MeshColdSettings
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import Machine
--- a/tests/mesh/test_configuration_watch.py
+++ b/tests/mesh/test_configuration_watch.py
@@ -7,7 +7,7 @@
 
 from hoisthook.mesh import configuration_watch
 from standin.mesh_store import Outage
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_crashing_requests.py
+++ b/tests/mesh/test_crashing_requests.py
@@ -21,7 +21,7 @@
 from standin.mesh_backend import Fault
 from standin.mesh_store import Outage
 from standin.mesh_system import NODES_TOPIC
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_dropping_backend.py
+++ b/tests/mesh/test_dropping_backend.py
@@ -8,7 +8,7 @@
 from hoisthook.mesh.backend_belief import BackendBelief
 from standin.mesh_backend import Fault
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     import pytest
--- a/tests/mesh/test_evacuation.py
+++ b/tests/mesh/test_evacuation.py
@@ -11,7 +11,7 @@
 from hoisthook.traffic.evacuations import Evacuations
 from standin.mesh_store import Outage
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_incarnations.py
+++ b/tests/mesh/test_incarnations.py
@@ -14,7 +14,7 @@
 from hoisthook.mesh.backend_belief import BackendBelief
 from hoisthook.mesh.backend_belief import BackendState
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import MeshSystem
--- a/tests/mesh/test_key_lease.py
+++ b/tests/mesh/test_key_lease.py
@@ -8,8 +8,8 @@
 
 from hoisthook.settings.mesh_settings import MeshKeySettings
 from standin.mesh_store import Outage
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import TeamOptions
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import TeamOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -26,7 +26,7 @@
 from hoisthook.settings.mesh_settings import MeshRetrySettings
 from standin.mesh_backend import Fault
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from hoisthook.beside.repeat_limit import Try
--- a/tests/mesh/test_leaving_entry.py
+++ b/tests/mesh/test_leaving_entry.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.server_exchange import ServerExchange
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -7,7 +7,7 @@
 
 from hoisthook.result_code import ResultCode
 from standin.mesh_backend import Fault
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import Machine
--- a/tests/mesh/test_quota_messages.py
+++ b/tests/mesh/test_quota_messages.py
@@ -10,7 +10,7 @@
 from hoisthook.adapter.http.client_pool import ClientPool
 from hoisthook.mesh.team_quotas import QUOTA_PATH
 from hoisthook.mesh.whole_exchange import exchange_whole
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import MeshSystem
--- a/tests/mesh/test_silent_node.py
+++ b/tests/mesh/test_silent_node.py
@@ -10,7 +10,7 @@
 from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.mesh import mesh_node
 from standin.mesh_backend import Fault
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_store_calls.py
+++ b/tests/mesh/test_store_calls.py
@@ -19,7 +19,7 @@
 from hoisthook.mesh.peer_sync import PeerSync
 from hoisthook.result_code import ResultCode
 from standin.mesh_store import Outage
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_store_era.py
+++ b/tests/mesh/test_store_era.py
@@ -16,8 +16,8 @@
 from standin import mesh_store
 from standin.mesh_store import StoreStandin
 from standin.mesh_system import NODES_TOPIC
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import TeamOptions
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import TeamOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_store_readers.py
+++ b/tests/mesh/test_store_readers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hoisthook.mesh import configuration_watch
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import Machine
--- a/tests/mesh/test_suspicion.py
+++ b/tests/mesh/test_suspicion.py
@@ -7,7 +7,7 @@
 
 from hoisthook.identity import ServiceName
 from hoisthook.mesh import peer_sync
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/mesh/test_team_keys.py
+++ b/tests/mesh/test_team_keys.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import TeamOptions
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import TeamOptions
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.message import Header
--- a/tests/mesh/test_team_quota.py
+++ b/tests/mesh/test_team_quota.py
@@ -7,8 +7,8 @@
 
 from hoisthook.settings.mesh_settings import MeshTeamSettings
 from standin.mesh_backend import Fault
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import TeamOptions
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import TeamOptions
 
 if TYPE_CHECKING:
     from standin.mesh_system import Machine
--- a/tests/platform/test_foreign_records.py
+++ b/tests/platform/test_foreign_records.py
@@ -24,7 +24,7 @@
 from standin.mesh_store import join_record
 from standin.mesh_system import ListLog
 from standin.mesh_system import MeshSystem
-from standin.mesh_system import RouteOptions
+from standin.published_configuration import RouteOptions
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/process/test_platform_process.py
+++ b/tests/process/test_platform_process.py
@@ -10,9 +10,9 @@
 
 import pytest_asyncio
 
+from standin.loopback_ports import free_address
 from standin.mesh_store import StoreStandin
-from standin.mesh_system import configuration
-from standin.mesh_system import free_address
+from standin.published_configuration import configuration
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/traffic/test_configuration_spreading.py
+++ b/tests/traffic/test_configuration_spreading.py
@@ -18,8 +18,8 @@
 from hoisthook.traffic.configuration_parts import ConfigurationParts
 from hoisthook.traffic.configuration_parts import PartKey
 from standin.mesh_system import ListLog
-from standin.mesh_system import RouteOptions
-from standin.mesh_system import configuration
+from standin.published_configuration import RouteOptions
+from standin.published_configuration import configuration
 
 KEYS = [PartKey(f"routes/{number}") for number in range(4)]
 by_keys = st.dictionaries(st.sampled_from(KEYS), st.binary(min_size=1, max_size=2))
