Each kind of repeat learns for itself whether asking on is of use

What callers would have seen: at a service that fails part of its work and turns another part away, reruns have a small part of the budget and are refused nearly always; the share that the entry learned from them kept redirected requests, for which there was room, from asking a second node.

Cause: one share a service for all kinds of repeats. A hop that was lost before it was admitted counted as admitted as well, though it says nothing.

Change: a share by kind (unheard, redirected, rerun); lost hops that were not admitted are left out. The new test failed before (1 node asked in place of 5) and passes now; the model's test of asking in vain passes unchanged.

--- a/src/hoisthook/mesh/routed_dispatcher.py
+++ b/src/hoisthook/mesh/routed_dispatcher.py
@@ -12,8 +12,10 @@
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.outcome import Unheard
 from hoisthook.mesh.routed_progress import RoutedProgress
+from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
+from hoisthook.retry.arrival import Arrival
 from hoisthook.routing.try_yield import TryYield
 
 if TYPE_CHECKING:
@@ -111,7 +113,8 @@
         self._choice = choice
         self._hop = hop
         self._clock = clock
-        self._repeat_yield = TryYield()
+        # Each kind of repeat has room of its own.
+        self._yield_by_arrival = {arrival: TryYield() for arrival in Arrival if arrival.is_repeat}
 
     async def dispatch(self, call: RoutedCall) -> Dispatched:
         """Run the request somewhere, or say what is known of it."""
@@ -154,7 +157,7 @@
     def _is_repeated_in_vain(self, call: RoutedCall, progress: RoutedProgress, now: float) -> bool:
         if not call.arrival.is_repeat or not progress.refused_repeats:
             return False
-        return not self._repeat_yield.is_worth_another(call.service, now)
+        return not self._yield_by_arrival[call.arrival].is_worth_another(call.service, now)
 
     async def _try(
         self, view: PeerView, admission: Admission, call: RoutedCall, progress: RoutedProgress
@@ -178,10 +181,13 @@
         """Learn from a repeat whether its service has room for others."""
         if not call.arrival.is_repeat or isinstance(outcome, Unheard):
             return
+        if isinstance(outcome, Lost) and not outcome.admitted:
+            return
         code = outcome.code if isinstance(outcome, Refused) else None
         if code in _DECIDED_CODES:
             is_admitted = code is not ResultCode.RETRY_BUDGET_SPENT
-            self._repeat_yield.note(call.service, now, is_admitted=is_admitted)
+            seen = self._yield_by_arrival[call.arrival]
+            seen.note(call.service, now, is_admitted=is_admitted)
 
     async def _first_of(
         self, trial: asyncio.Future[Outcome | Unheard], progress: RoutedProgress
--- a/tests/mesh/test_routed_dispatcher.py
+++ b/tests/mesh/test_routed_dispatcher.py
@@ -15,7 +15,11 @@
 from hoisthook.mesh.peer import Peer
 from hoisthook.mesh.peer import PeerView
 from hoisthook.mesh.routed_dispatcher import RoutedDispatcher
+from hoisthook.node.call import Refused
 from hoisthook.node.loop_clock import LoopClock
+from hoisthook.result_code import ResultCode
+from hoisthook.retry.arrival import Arrival
+from tests.fakes import FakeClock
 from tests.mesh.test_routed_progress import progress
 
 if TYPE_CHECKING:
@@ -70,6 +74,45 @@
         raise AssertionError
 
 
+class FullNodes(Nodes):
+    """Ten nodes without room for repeats."""
+
+    def __init__(self) -> None:
+        self.views = [
+            PeerView(
+                Peer(NodeId(f"n-{n}"), f"127.0.0.1:{n}", ServiceName("shop"), DataCentre("one")),
+                is_self=False,
+                same_data_centre=True,
+            )
+            for n in range(1, 11)
+        ]
+
+    async def run(
+        self, view: PeerView, call: RoutedCall, admission: Admission
+    ) -> Outcome | Unheard:
+        return Refused(ResultCode.RETRY_BUDGET_SPENT, 0.1)
+
+
+async def test_reruns_in_vain_do_not_keep_other_repeats_from_asking_on() -> None:
+    """Each kind of repeat has room of its own: what one kind meets tells nothing of another."""
+    clock = FakeClock()
+    nodes = FullNodes()
+    dispatcher = RoutedDispatcher(nodes, nodes, clock)  # type: ignore[arg-type]
+
+    async def tries(arrival: Arrival) -> int:
+        call = progress(target=60.0).call
+        call.received, call.deadline = clock.now(), clock.now() + 60.0
+        call.arrival = arrival
+        return (await dispatcher.dispatch(call)).tries
+
+    until_known = await tries(Arrival.RERUN)
+    assert until_known > 1
+    assert await tries(Arrival.RERUN) == 1
+    assert await tries(Arrival.REDIRECTED) == until_known
+    clock.advance(10.0)
+    assert await tries(Arrival.RERUN) > 1
+
+
 @pytest.mark.parametrize("is_silent_too", [False, True])
 async def test_request_whose_caller_has_left_is_withdrawn_from_silent_nodes(
     is_silent_too: bool,
