Tests of calls with keys listen on an address of their own process

Checks on beside three busy processes failed once, 1 of 1,431: test_non_repeatable_request_runs_at_most_once[caller-connect-freeze], two runs where one is allowed. Evidence: the caller got no answer, and the relay in front of its entry stands still before it opens its own connection, so nothing of that request can have reached a node of this test; its runs came from elsewhere. Every test process uses the same names (service svc, run once) and ports of 127.0.0.1 that the system gives out, and tests crash nodes, whose ports become free while others still send there. Suspected, not shown: such a port was given out again in this process. Ruled out: the product runs it twice by itself, as it never got it; the pace of the machine alone (12 of 12 passed beside each other). Change: listeners of one test process are on an address of 127/8 by its id. The check is unchanged. tests/node passes (363).

--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -27,6 +27,7 @@
 from tests.fakes import FakePeers
 from tests.node.backend import Backend
 from tests.node.faulty_wire import Wire
+from tests.node.loopback_listener import HOST
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,10 +43,10 @@
 id = "{name}"
 data_centre = "dc"
 [listen]
-callers = "127.0.0.1:0"
-peers = "127.0.0.1:0"
-announcements = "127.0.0.1:0"
-operators = "127.0.0.1:0"
+callers = "{host}:0"
+peers = "{host}:0"
+announcements = "{host}:0"
+operators = "{host}:0"
 [log]
 address = "127.0.0.1:1"
 [peers]
@@ -121,7 +122,7 @@
     async def start_node(self, name: str) -> Node:
         transport = FakePeers(self._peer_by_address)
         node = Node(
-            parse_settings(SETTINGS.format(name=name)),
+            parse_settings(SETTINGS.format(name=name, host=HOST)),
             log=self.log,
             peers=transport,
             decisions=SilentLog(),
--- a/tests/node/loopback_listener.py
+++ b/tests/node/loopback_listener.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from abc import ABC
 from abc import abstractmethod
 
+# Of this process alone: what another test process sends to a port that it has given up, and that
+# is given out again here, must not arrive.
+HOST = f"127.1.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+
 
 class LoopbackListener(ABC):
     """Runs `converse` for each connection; `close` ends all of them."""
@@ -16,7 +21,7 @@
         self.address = ("", 0)
 
     async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._serve, HOST, 0)
         self.address = self._server.sockets[0].getsockname()
 
     def close(self) -> None:
