Stand-ins of one process listen on a loopback address of their own

The node's log says why: 5005 PORT_UNAVAILABLE, address in use, at a restart. Cause: test processes give out ports from ranges of 131 that run into each other; a port whose node is down for a moment looks free to the next process. Change: HOST, from which ports are given out, is an address of 127/8 by process id; tests/node uses the same one. The check is unchanged.

--- a/tests/node/harness.py
+++ b/tests/node/harness.py
@@ -22,12 +22,12 @@
 from hoisthook.node.loop_clock import LoopClock
 from hoisthook.node.node import Node
 from hoisthook.settings.settings_file import parse_settings
+from standin.loopback_ports import HOST
 from tests.fakes import FakeLog
 from tests.fakes import FakePeer
 from tests.fakes import FakePeers
 from tests.node.backend import Backend
 from tests.node.faulty_wire import Wire
-from tests.node.loopback_listener import HOST
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/node/loopback_listener.py
+++ b/tests/node/loopback_listener.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from abc import ABC
 from abc import abstractmethod
 
-# Of this process alone: what another test process sends to a port that it has given up, and that
-# is given out again here, must not arrive.
-HOST = f"127.1.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+from standin.loopback_ports import HOST
 
 
 class LoopbackListener(ABC):
