--- a/standin/loopback_ports.py
+++ b/standin/loopback_ports.py
@@ -7,8 +7,8 @@
 
 from hoisthook.identity import format_address
 
-# Of this process alone: a port of a node that is down for a moment is given to no other process.
-HOST = f"127.1.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
+# Nodes are asked back at the address that their connections come from, which is this one.
+HOST = "127.0.0.1"
 FIRST_PORT = 10_000
 LAST_PORT = 30_000
 PORTS_PER_PROCESS = 131
