Soak: a series of kills is played to its end

Cause: the series was cancelled between a kill and the wait for it; the place was taken for running, nobody started it again. Change: stop lets the round under way end, in place of cancelling it; it no longer starts places that nobody has killed, so a node that ends by itself is found as well. The check is unchanged.

--- a/standin/soak_repeats.py
+++ b/standin/soak_repeats.py
@@ -47,20 +47,28 @@
         self._cluster = cluster
         self._start_again = start_again
         self._random = random.Random(seed)
-        self._tasks: list[asyncio.Task[None]] = []
+        self._is_stopping = False
+        self._rejecting: asyncio.Task[None] | None = None
+        self._killing: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Begin."""
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._reject()), loop.create_task(self._kill_in_series())]
+        self._rejecting = loop.create_task(self._reject())
+        self._killing = loop.create_task(self._kill_in_series())
 
     async def stop(self) -> None:
-        """End; every node runs again."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for place in self._cluster.places:
-            await self._start_again(place)
+        """End; every node runs again.
+
+        A round of kills is played to its end: a node that is killed and not waited for would be
+        taken for running, and not be started again.
+        """
+        assert self._rejecting is not None
+        assert self._killing is not None
+        self._is_stopping = True
+        self._rejecting.cancel()
+        await asyncio.gather(self._rejecting, return_exceptions=True)
+        await self._killing
 
     async def _reject(self) -> None:
         """Let two of three backend servers turn work away at any time."""
@@ -73,7 +81,7 @@
 
     async def _kill_in_series(self) -> None:
         places = self._cluster.places
-        while True:
+        while not self._is_stopping:
             await asyncio.sleep(KILL_SECONDS)
             killed = self._random.sample(places, round(KILLED_SHARE * len(places)))
             with contextlib.suppress(ProcessLookupError):
