The keyed path checks that an answer comes from a node

What callers saw: 200, hoisthook-result "0 OK", "ran", an empty hoisthook-ran-by, and the body of another program, after a node had ended and an HTTP server of another program had started on its peer port.

Cause: HopClient took any answer without hoisthook-result for the backend server's. A node adds its load report to every answer of a hop, refusals included; that header was read, but its absence was not noticed. The platform's path has this check (PeerHop), the keyed path had not.

Ruled out: stale pooled connections, since the killed process resets its own.

Change: an answer that has neither a result nor a load report is not passed on: the call has an unknown outcome (3009), may be repeated within its budget if it is repeatable, and the node gets no requests for 0.25 s.

The new test fails before for GET and keyed POST alike (code 0, body "foreign").

--- a/src/hoisthook/node/hop_client.py
+++ b/src/hoisthook/node/hop_client.py
@@ -154,6 +154,11 @@
         if result is not None:
             finish(fully_read=connection.body.complete)
             return _failure(result, own_headers)
+        if report is None:
+            # A node adds its load to every answer, so a program other than a node answers here.
+            finish(fully_read=False)
+            candidate.view.close_until(now + LOST_BACKOFF_SECONDS)
+            return Lost(ResultCode.ANSWER_SPOILED)
         node_micros = own_headers.get(wire.INSIDE_MICROS, b"")
         if node_micros.isdigit():
             candidate.view.took(now - sent, int(node_micros) / 1e6)
--- a/tests/node/conftest.py
+++ b/tests/node/conftest.py
@@ -8,6 +8,7 @@
 
 from hoisthook.admission import backend_server_state
 from hoisthook.configuration.service_spec import ServiceSpec
+from tests.node.foreign_server import ForeignServer
 from tests.node.harness import SERVICE
 from tests.node.harness import TIMEOUT_MS
 from tests.node.harness import System
@@ -51,3 +52,12 @@
 async def system(warm_backend_servers: None) -> AsyncIterator[System]:
     async with running(System()) as system:
         yield system
+
+
+@pytest_asyncio.fixture
+async def foreign_server() -> AsyncIterator[ForeignServer]:
+    """Provide a running server that is no node."""
+    server = ForeignServer()
+    await server.start()
+    yield server
+    server.close()
--- a/tests/node/test_bad_peers.py
+++ b/tests/node/test_bad_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,6 +18,7 @@
 from hoisthook.rpc.operator_grpc import OperatorStub
 
 if TYPE_CHECKING:
+    from tests.node.foreign_server import ForeignServer
     from tests.node.harness import System
 
 BAD_BODIES = [b"", b"{", b"[]", b'{"sender":1}', b"\xff\xfe", b"1" * 100_000]
@@ -79,24 +79,31 @@
 
 
 async def test_answer_of_something_else_at_the_holders_address_is_not_forwarded(
-    system: System,
+    system: System, foreign_server: ForeignServer
 ) -> None:
     key = await system.issue_key("a")
-
-    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\nforeign")
-        await writer.drain()
-
-    foreign = await asyncio.start_server(answer, "127.0.0.1", 0)
-    await system.relay_by_name["holder"].restart(upstream=foreign.sockets[0].getsockname())
+    await system.relay_by_name["holder"].restart(upstream=foreign_server.address)
     address = system.node_by_name["c"].callers_address
     got = await system.call(address, "r", method=b"POST", key=key, body=b"5")
-    foreign.close()
     assert (got.code, got.ran) == (3008, "unknown")
     assert b"foreign" not in got.body
 
 
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+async def test_answer_of_something_else_at_a_nodes_address_is_not_a_backend_servers(
+    system: System, foreign_server: ForeignServer, method: bytes
+) -> None:
+    """An HTTP server of another program listens at the addresses of both target nodes."""
+    key = await system.issue_key("a") if method == b"POST" else None
+    for name in ("b1-hop", "b2-hop"):
+        await system.relay_by_name[name].restart(upstream=foreign_server.address)
+    address = system.node_by_name["a"].callers_address
+    got = await system.call(address, "r", method=method, key=key)
+    assert got.code > 0
+    assert got.ran in ("not-run", "unknown")
+    assert b"foreign" not in got.body
+
+
 async def test_operators_bad_value_gets_its_number(system: System) -> None:
     host, port = system.node_by_name["a"].operators_address
     channel = Channel(host, port)
