A node states its identity before another node sends it a request

What callers saw: a request with an idempotency key, which may not run twice, was given to whatever listened at the address of a key's holder that had ended, once for every repeat; the caller was told "3008 unknown" each time, and the request had run. Requests of a hop went the same way.

Cause: IdempotencyHandler._forward_to_holder and HopClient opened or reused a connection to a member's address and sent the request at once. A node that listens there refuses an attempt for another incarnation; any other server runs it. ClientPool keeps connections by address alone.

Change: the first exchange on a new connection to a node asks for its identity (GET /hoisthook/identity); a request follows only if the node states the incarnation that is meant. A pooled connection is used for the incarnation that it was identified with. Nodes of the version before are recognized by how they refuse an attempt that names no service.

Tests: relays leave the question alone unless a fault is meant for it, so each cell of the matrix strikes the same request as before; new cells strike the question. Two tests relied on how early a request arrives: - a caller that goes away is now cut off when its request runs, not at the moment at which it was sent on (the request did not leave the first node any more); - a frozen node now has pooled connections before it is frozen and is frozen for 2 s; new requests no longer wait for it, so that the freeze ended before it counted as a pause.

--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -27,6 +27,15 @@
 
     The connection is reusable only after an answer that was complete, framed by its own length,
     kept alive, and not followed by surplus bytes.
+
+    Attributes
+    ----------
+    identity : str or None
+        Identity that the node on the other side has stated, see `NodeConnections`.
+    idle_since : float
+        When the last exchange ended, on the loop's clock.
+    exchanges : int
+        Exchanges started so far.
     """
 
     def __init__(self) -> None:
@@ -49,6 +58,7 @@
         self._fully_closed = False
         self._fully_closed_callbacks: list[Callable[[], None]] = []
         self._abort_timer: asyncio.TimerHandle | None = None
+        self.identity: str | None = None
         self.idle_since = 0.0
         self.exchanges = 0
 
--- a/src/hoisthook/adapter/http/client_pool.py
+++ b/src/hoisthook/adapter/http/client_pool.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.client_connection import ClientConnection
+from hoisthook.adapter.http.stall_tolerant_timeout import stall_tolerant_timeout
 from hoisthook.exceptions import UnreachableError
 
 if TYPE_CHECKING:
@@ -53,9 +54,7 @@
     async def open(self, address: Address, timeout: float) -> ClientConnection:
         """Open a new connection.
 
-        The second half of the time starts when the event loop runs the timer of the first half.
-        After a stall of the loop during the first half, a connection that was opened meanwhile
-        is thus still used instead of timed out.
+        A connection that was opened during a stall of the event loop is used, not timed out.
 
         Raises
         ------
@@ -64,14 +63,9 @@
         """
         loop = asyncio.get_running_loop()
         self.opened += 1
-        half = timeout / 2
         try:
-            async with asyncio.timeout(None) as deadline:
-                halfway = loop.call_later(half, lambda: deadline.reschedule(loop.time() + half))
-                try:
-                    _, connection = await loop.create_connection(ClientConnection, *address)
-                finally:
-                    halfway.cancel()
+            async with stall_tolerant_timeout(timeout):
+                _, connection = await loop.create_connection(ClientConnection, *address)
         except (OSError, TimeoutError) as error:
             raise UnreachableError(f"{address[0]}:{address[1]}: {error}") from error
         return connection
--- a/src/hoisthook/node/hop_client.py
+++ b/src/hoisthook/node/hop_client.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.node_connections import IdentityError
 from hoisthook.exceptions import UnreachableError
 from hoisthook.identity import Incarnation
 from hoisthook.node import wire
@@ -11,6 +12,7 @@
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.node.exchanger import Exchanger
+from hoisthook.node.older_nodes import OLDER_NODE_REFUSALS
 from hoisthook.result_code import BY_NUMBER
 from hoisthook.result_code import Ran
 from hoisthook.result_code import ResultCode
@@ -23,6 +25,7 @@
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.adapter.http.message import Header
+    from hoisthook.adapter.http.node_connections import NodeConnections
     from hoisthook.node.attempt import Attempt
     from hoisthook.node.call import Call
     from hoisthook.node.local_backend import LocalBackend
@@ -34,6 +37,7 @@
 UNREACHABLE_RETRY_SECONDS = 0.25
 DEFAULT_RETRY_SECONDS = 0.05
 LOST_BACKOFF_SECONDS = 0.25
+REPLACED_RETRY_SECONDS = 1.0
 
 
 class HopClient:
@@ -42,7 +46,9 @@
     Parameters
     ----------
     pool : ClientPool
-        Connections to other nodes.
+        Keeps the connections to other nodes.
+    connections : NodeConnections
+        Opens and identifies them.
     local_backend : LocalBackend
         This node's own backend server.
     clock : Clock
@@ -52,9 +58,15 @@
     """
 
     def __init__(
-        self, pool: ClientPool, local_backend: LocalBackend, clock: Clock, incarnation: Incarnation
+        self,
+        pool: ClientPool,
+        connections: NodeConnections,
+        local_backend: LocalBackend,
+        clock: Clock,
+        incarnation: Incarnation,
     ) -> None:
         self._pool = pool
+        self._connections = connections
         self._local_backend = local_backend
         self._clock = clock
         self._incarnation = incarnation
@@ -86,12 +98,14 @@
         return _releasing_when_finished(result, release)
 
     async def _run_remote(self, candidate: Candidate, call: Call, attempt: Attempt) -> RunResult:
-        connection = self._pool.take_idle(candidate.address)
-        if connection is None:
-            try:
-                connection = await self._pool.open(candidate.address, CONNECT_SECONDS)
-            except UnreachableError:
-                return Refused(ResultCode.UNREACHABLE, UNREACHABLE_RETRY_SECONDS)
+        try:
+            connection = await self._connections.acquire(
+                candidate.address, candidate.member.incarnation, CONNECT_SECONDS
+            )
+        except IdentityError as error:
+            return _identity_refusal(error)
+        except UnreachableError:
+            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_RETRY_SECONDS)
         sent = self._clock.now()
         if attempt.abandoned or sent >= call.deadline:
             self._pool.keep(candidate.address, connection)
@@ -166,6 +180,16 @@
         return Answer(head, connection.body, ran_by, finish)
 
 
+def _identity_refusal(error: IdentityError) -> Refused:
+    if error.other_node is not None:
+        return Refused(ResultCode.INCARNATION_MISMATCH, REPLACED_RETRY_SECONDS)
+    result = error.answer.get(wire.RESULT)
+    refused = None if result is None else _failure(result, dict(error.answer.headers))
+    if isinstance(refused, Refused) and refused.code in OLDER_NODE_REFUSALS:
+        return refused
+    return Refused(ResultCode.UNREACHABLE, UNREACHABLE_RETRY_SECONDS)
+
+
 def _failure(result: bytes, own_headers: dict[bytes, bytes]) -> Refused | Lost:
     number = result.split(b" ", 1)[0]
     code = BY_NUMBER.get(int(number)) if number.isdigit() else None
--- a/src/hoisthook/node/idempotency_handler.py
+++ b/src/hoisthook/node/idempotency_handler.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import end_to_end
+from hoisthook.adapter.http.node_connections import IdentityError
 from hoisthook.exceptions import UnreachableError
 from hoisthook.idempotency.key import parse_key
 from hoisthook.idempotency.key_register import Claimed
@@ -32,6 +33,7 @@
 
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.message import Header
+    from hoisthook.adapter.http.node_connections import NodeConnections
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.configuration.configuration_state import ConfigurationState
     from hoisthook.idempotency.key import Key
@@ -71,7 +73,9 @@
     table : MemberTable
         Gives the addresses of key holders.
     pool : ClientPool
-        Connections to other nodes.
+        Keeps the connections to other nodes.
+    connections : NodeConnections
+        Opens and identifies them.
     clock : Clock
         Monotonic; the event loop's clock.
     """
@@ -82,12 +86,14 @@
         configuration: ConfigurationState,
         table: MemberTable,
         pool: ClientPool,
+        connections: NodeConnections,
         clock: Clock,
     ) -> None:
         self._register = register
         self._configuration = configuration
         self._table = table
         self._pool = pool
+        self._connections = connections
         self._clock = clock
 
     def serve_control(self, exchange: ServerExchange, own_headers: dict[bytes, bytes]) -> None:
@@ -183,8 +189,11 @@
             return
         address = parse_address(holder.address)
         try:
-            connection = await self._pool.acquire(address, CONNECT_SECONDS)
-        except UnreachableError:
+            connection = await self._connections.acquire(address, key.incarnation, CONNECT_SECONDS)
+        except UnreachableError as error:
+            if isinstance(error, IdentityError) and error.other_node is not None:
+                self._deny(exchange, call, ResultCode.HOLDER_GONE)
+                return
             refuse(exchange, ResultCode.HOLDER_UNREACHABLE, retry_after=HOLDER_RETRY_SECONDS)
             return
         now = self._clock.now()
--- a/src/hoisthook/node/node.py
+++ b/src/hoisthook/node/node.py
@@ -13,6 +13,9 @@
 from hoisthook.adapter.http.asgi_bridge import serve_asgi
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.adapter.http.node_connections import IDENTITY_PATH
+from hoisthook.adapter.http.node_connections import NodeConnections
+from hoisthook.adapter.http.node_connections import answer_identity
 from hoisthook.adapter.operator_service import OperatorService
 from hoisthook.admission.concurrency_share import ConcurrencyShare
 from hoisthook.background_tasks import BackgroundTasks
@@ -42,6 +45,7 @@
 from hoisthook.node.local_backend import LocalBackend
 from hoisthook.node.node_metrics import NodeMetrics
 from hoisthook.node.node_report import NodeReport
+from hoisthook.node.older_nodes import OlderKeyedNodes
 from hoisthook.node.operators_endpoint import OperatorsEndpoint
 from hoisthook.node.own_record import OwnRecord
 from hoisthook.node.reply import refuse
@@ -290,14 +294,17 @@
             self._clock,
         )
         self._router = Router(self.table, make_policy(routing.policy, self._randomness))
-        client = HopClient(self._hop_pool, self.local_backend, self._clock, self.incarnation)
+        connections = NodeConnections(self._hop_pool, OlderKeyedNodes(self.incarnation))
+        client = HopClient(
+            self._hop_pool, connections, self.local_backend, self._clock, self.incarnation
+        )
         self._dispatcher = Dispatcher(
             self._router, client, self.table, self._clock, hedging=is_product
         )
         node = NodeId(self.settings.node.id)
         self.register = KeyRegister(node, self.incarnation, self._clock, self._randomness)
         self._idempotency_handler = IdempotencyHandler(
-            self.register, self.state, self.table, self._hop_pool, self._clock
+            self.register, self.state, self.table, self._hop_pool, connections, self._clock
         )
         self.metrics = NodeMetrics(self._decisions)
         self._ingress = Ingress(
@@ -342,6 +349,9 @@
 
     async def _serve_peer(self, exchange: ServerExchange) -> None:
         head = exchange.head
+        if head.target == IDENTITY_PATH:
+            answer_identity(exchange, self.incarnation)
+            return
         attempt = head.get(wire.ATTEMPT)
         if attempt is not None:
             await self._hop_server.handle(exchange, attempt)
--- a/tests/node/faulty_relay.py
+++ b/tests/node/faulty_relay.py
@@ -3,17 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.node_connections import IDENTITY_PATH
 from tests.node.loopback_listener import LoopbackListener
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
+@dataclass
+class _Carried:
+    """What one connection carries at the moment."""
+
+    is_identity: bool = False
+
+
 class FaultyRelay(LoopbackListener):
     """A relay that injects a fault at one step of the first exchange it carries.
 
+    The exchange in which a node states its identity is left alone unless the fault is injected for
+    it; the exchange after it is then left alone.
+
     Steps: ``connect``, ``send`` (nothing of the request forwarded), ``send-half``,
     ``sent`` (all of it forwarded), ``answer`` (nothing of the answer sent back),
     ``answer-half``, ``answer-end`` (all but three bytes). Faults: ``cut``,
@@ -26,6 +38,7 @@
         self.step = ""
         self.fault: str | Callable[[], object] = ""
         self.hits = 0
+        self.is_for_identity = False
 
     async def restart(self, *, upstream: tuple[str, int]) -> None:
         """Drop all connections and relay new ones to another address."""
@@ -33,16 +46,20 @@
         self.drop_connections()
         await asyncio.sleep(0.01)
 
-    def inject(self, step: str, fault: str | Callable[[], object]) -> None:
+    def inject(
+        self, step: str, fault: str | Callable[[], object], *, for_identity: bool = False
+    ) -> None:
         self.step, self.fault, self.hits = step, fault, 0
+        self.is_for_identity = for_identity
 
     async def handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await self._fail_at("connect")
+        carried = _Carried()
         up_reader, up_writer = await asyncio.open_connection(*self.upstream)
-        forward = asyncio.ensure_future(self._pump_requests(reader, up_writer))
-        backward = asyncio.ensure_future(self._pump_answers(up_reader, writer))
+        forward = asyncio.ensure_future(self._pump_requests(reader, up_writer, carried))
+        backward = asyncio.ensure_future(self._pump_answers(up_reader, writer, carried))
         try:
             await asyncio.wait([forward, backward], return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -52,9 +69,13 @@
             up_writer.transport.abort()
 
     async def _pump_requests(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, carried: _Carried
     ) -> None:
         while data := await reader.read(65536):
+            carried.is_identity = data.startswith(b"GET " + IDENTITY_PATH + b" ")
+            if carried.is_identity != self.is_for_identity:
+                writer.write(data)
+                continue
             await self._fail_at("send")
             half = len(data) // 2
             writer.write(data[:half])
@@ -66,9 +87,12 @@
             await self._fail_at("sent")
 
     async def _pump_answers(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, carried: _Carried
     ) -> None:
         while data := await reader.read(65536):
+            if carried.is_identity != self.is_for_identity:
+                writer.write(data)
+                continue
             await self._fail_at("answer")
             half = len(data) // 2
             writer.write(data[:half])
--- a/tests/node/test_bad_peers.py
+++ b/tests/node/test_bad_peers.py
@@ -12,6 +12,7 @@
 
 from hoisthook.adapter.control_app import Announcement
 from hoisthook.membership.member import Exchange
+from hoisthook.node import node as node_module
 from hoisthook.node.wire import AttemptHeader
 from hoisthook.routing.load_view import LoadReport
 from hoisthook.rpc import operator_pb2 as pb
@@ -87,6 +88,7 @@
     got = await system.call(address, "r", method=b"POST", key=key, body=b"5")
     assert (got.code, got.ran) == (3008, "unknown")
     assert b"foreign" not in got.body
+    assert foreign_server.requests() == []
 
 
 @pytest.mark.parametrize("method", [b"GET", b"POST"])
@@ -100,10 +102,60 @@
     address = system.node_by_name["a"].callers_address
     got = await system.call(address, "r", method=method, key=key)
     assert got.code > 0
-    assert got.ran in ("not-run", "unknown")
+    assert got.ran == "not-run"
+    assert b"foreign" not in got.body
+    assert foreign_server.requests() == []
+
+
+async def test_answer_without_a_load_report_is_not_forwarded(
+    system: System, foreign_server: ForeignServer
+) -> None:
+    """Every node adds its load to its answers."""
+    foreign_server.stated_identity = system.node_by_name["b1"].incarnation
+    await system.crash("b2")
+    await system.relay_by_name["b1-hop"].restart(upstream=foreign_server.address)
+    got = await system.call(system.node_by_name["a"].callers_address, "r")
+    assert (got.code, got.ran) == (3009, "unknown")
     assert b"foreign" not in got.body
 
 
+async def test_node_that_replaced_the_holder_at_its_address_gets_no_request(
+    system: System,
+) -> None:
+    key = await system.issue_key("a")
+    other = system.node_by_name["b1"].peers_address
+    await system.relay_by_name["holder"].restart(upstream=other)
+    address = system.node_by_name["c"].callers_address
+    got = await system.call(address, "r", method=b"POST", key=key, body=b"5")
+    assert (got.code, got.ran) == (3003, "unknown")
+    assert system.runs("r") == 0
+
+
+async def test_older_nodes_that_state_no_identity_are_served_and_serve(
+    monkeypatch: pytest.MonkeyPatch, system: System
+) -> None:
+    """A node of an earlier version treats the question for its identity as an attempt."""
+    monkeypatch.setattr(node_module, "IDENTITY_PATH", b"/unused")
+    key = await system.issue_key("a")
+    for ingress in ("a", "c"):
+        address = system.node_by_name[ingress].callers_address
+        assert (await system.call(address, f"safe-{ingress}")).code == 0
+        assert (await system.call(address, "r", method=b"POST", key=key, body=b"5")).code == 0
+    assert system.runs("r") == 1
+
+
+async def test_replaced_older_node_gets_no_request(
+    monkeypatch: pytest.MonkeyPatch, system: System
+) -> None:
+    monkeypatch.setattr(node_module, "IDENTITY_PATH", b"/unused")
+    for name, other in (("b1", "c"), ("b2", "c")):
+        upstream = system.node_by_name[other].peers_address
+        await system.relay_by_name[f"{name}-hop"].restart(upstream=upstream)
+    got = await system.call(system.node_by_name["a"].callers_address, "r")
+    assert (got.code, got.ran) == (2008, "not-run")
+    assert system.runs("r") == 0
+
+
 async def test_operators_bad_value_gets_its_number(system: System) -> None:
     host, port = system.node_by_name["a"].operators_address
     channel = Channel(host, port)
--- a/tests/node/test_fault_matrix.py
+++ b/tests/node/test_fault_matrix.py
@@ -16,11 +16,14 @@
 FAULTS = ("cut", "freeze", "delay", "crash beside", "crash holder", "cut, log out")
 
 
-def inject_fault(system: System, wire: str, step: str, fault: str) -> None:
+def inject_fault(
+    system: System, wire: str, step: str, fault: str, *, for_identity: bool = False
+) -> None:
     """Inject a fault on the given wire, for all backend servers since either may be chosen."""
     names = ["caller"] if wire == "caller" else [f"{name}-{wire}" for name in ("b1", "b2")]
     for name in names:
-        system.relay_by_name[name].inject(step, make_fault(system, name, fault))
+        injected = make_fault(system, name, fault)
+        system.relay_by_name[name].inject(step, injected, for_identity=for_identity)
 
 
 def make_fault(system: System, wire: str, fault: str) -> object:
@@ -138,3 +141,42 @@
         await wait_until_idle(system)
         check_result(system, "once", got, 1)
     assert got.code in (0, 3006, 3005)
+
+
+IDENTITY_STEPS = STEPS[1:]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("step", IDENTITY_STEPS)
+async def test_fault_while_a_node_states_its_identity_is_before_the_request(
+    system: System, step: str, fault: str
+) -> None:
+    key = await system.issue_key("a")
+    inject_fault(system, "hop", step, fault, for_identity=True)
+    address = system.node_by_name["a"].callers_address
+    got, safe = await asyncio.gather(
+        system.call(address, "once", method=b"POST", key=key, body=b"5"),
+        system.call(address, "safe"),
+    )
+    await wait_until_idle(system)
+    check_result(system, "once", got, 1)
+    check_result(system, "safe", safe, 2)
+    clear_faults(system)
+    if "a" in system.node_by_name:
+        again = await system.call(address, "once", method=b"POST", key=key, body=b"5")
+        check_result(system, "once", again, 1)
+
+
+@pytest.mark.parametrize("fault", FAULTS[:3])
+@pytest.mark.parametrize("step", IDENTITY_STEPS)
+async def test_fault_while_the_holder_states_its_identity_runs_nothing_twice(
+    system: System, step: str, fault: str
+) -> None:
+    key = await system.issue_key("a")
+    system.relay_by_name["holder"].inject(step, fault, for_identity=True)
+    address = system.node_by_name["c"].callers_address
+    for _ in range(3):
+        got = await system.call(address, "once", method=b"POST", key=key, body=b"5")
+        await wait_until_idle(system)
+        check_result(system, "once", got, 1)
+    assert got.code == 0
--- a/tests/node/test_path.py
+++ b/tests/node/test_path.py
@@ -150,12 +150,18 @@
     assert system.runs("r") == 1
 
 
-async def test_caller_that_goes_away_cancels_a_repeatable_request(system: System) -> None:
-    for backend in system.backend_by_name.values():
-        backend.work_seconds = 0.35
-    system.relay_by_name["caller"].inject("sent", "cut")
-    await system.call(system.relay_by_name["caller"].address, "r")
+async def test_caller_that_goes_away_cancels_a_repeatable_request(
+    unhedged_system: System,
+) -> None:
+    system = unhedged_system
     backends = system.backend_by_name.values()
+    for backend in backends:
+        backend.work_seconds = 0.35
+    relay = system.relay_by_name["caller"]
+    call = asyncio.ensure_future(system.call(relay.address, "r"))
+    await system.until(lambda: sum(b.active for b in backends) == 1)
+    relay.drop_connections()
+    await call
     await system.until(lambda: sum(b.cancelled for b in backends) == 1)
 
 
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -10,6 +10,7 @@
 import aiohttp
 import pytest_asyncio
 
+from hoisthook.membership.pause_guard import PAUSE_SECONDS
 from hoisthook.rpc import operator_pb2 as pb
 from standin.cluster import Cluster
 from standin.cluster import Instance
@@ -25,6 +26,8 @@
 
 SERVICE = "airtime-top-up"
 INGRESS_SERVICE = "subscriber-accounts"
+# Longer than the pause that a node detects.
+FREEZE_SECONDS = 2 * PAUSE_SECONDS
 SMALL = Deployment("small", ("kaolack", "fatick"), {INGRESS_SERVICE: 2, SERVICE: 2}, slots=4)
 
 
@@ -152,10 +155,14 @@
 ) -> None:
     ingress = caller.cluster.of(INGRESS_SERVICE)[0]
     frozen = caller.cluster.of(SERVICE)[0]
+    # Work reaches a frozen node only on connections on which it has stated its identity before.
+    await asyncio.gather(*(caller.send(ingress, f"w{number}", work_ms=20) for number in range(8)))
     send_signal(frozen, signal.SIGSTOP)
     names = [f"r{number}" for number in range(12)]
     sending = [asyncio.ensure_future(caller.send(ingress, name)) for name in names]
-    done, _ = await asyncio.wait(sending, timeout=2.0)
+    frozen_long_enough = asyncio.ensure_future(asyncio.sleep(FREEZE_SECONDS))
+    done, _ = await asyncio.wait(sending, timeout=FREEZE_SECONDS)
+    await frozen_long_enough
     send_signal(frozen, signal.SIGCONT)
     got = await asyncio.gather(*sending)
     assert done
