Closing a node is tested while the calls' work is held, not for 0.25 s

No caller was refused or cut off.

Each trace shows a stall of the loop of 120 to 147 ms after the calls were sent, and then r0 run a second time: the hedge delay of 25 ms had passed during the stall, so a hedge started. Five runs were active and never four. In most of them the deadline of 400 ms then passed as well (3002, truthful). Provoked: with one stall of 50 or 150 ms when connection 1, 3, 6, 8 or 10 is accepted, the known red test fails 8 of 10 times, each with seven runs of six calls (four slots and three), all six calls answered "0 OK".

Ruled out: a call that was refused or waited for a slot (six runs begin within 1 ms of each other, one attempt each but for r0, and eight slots); a sixth call that begins 0.25 s after the first (never seen). A hedge of a repeatable call within the budget is allowed, so the tests' wait was wrong: it took the number of active runs for the number of calls.

Change: the tests wait until every call has a run of its own, and hold the work by the stand-in's event until the close has begun. That is stricter: every call is certainly in progress when the node closes. What is checked at the end is unchanged. The ingress test uses the system whose deadlines do not pass on a busy machine, as the other does.

Without the wait of the shutdown (mutation "shutdown waits for requests in progress") the tests fail.

--- a/tests/node/test_leaving.py
+++ b/tests/node/test_leaving.py
@@ -22,6 +22,7 @@
 from hoisthook.rpc import operator_pb2 as pb
 from hoisthook.rpc.operator_grpc import OperatorStub
 from tests.node.harness import SERVICE
+from tests.node.harness import CallerResult
 from tests.node.harness import System
 
 if TYPE_CHECKING:
@@ -156,17 +157,33 @@
     await system.until(lambda: table.get("b1").status is MemberStatus.LEFT)
 
 
+async def held_calls(
+    system: System, count: int
+) -> tuple[list[asyncio.Future[CallerResult]], asyncio.Event]:
+    """Start calls and wait until each of them runs; their work ends when the event is set.
+
+    Hedges may run besides them, since a stall of the loop counts as a late answer.
+    """
+    release = asyncio.Event()
+    backends = list(system.backend_by_name.values())
+    for backend in backends:
+        backend.release = release
+    names = {f"r{number}" for number in range(count)}
+    calls = [asyncio.ensure_future(system.call(ingress(system), name)) for name in sorted(names)]
+    await system.until(lambda: {run for backend in backends for run in backend.runs} == names)
+    return calls, release
+
+
 async def test_closing_an_ingress_node_cuts_nothing_and_accepts_nothing_new(
-    system: System, no_grace: None
+    patient_system: System, no_grace: None
 ) -> None:
-    for backend in system.backend_by_name.values():
-        backend.work_seconds = 0.25
-    running = [
-        asyncio.ensure_future(system.call(ingress(system), f"r{number}")) for number in range(4)
-    ]
-    await system.until(lambda: sum(b.active for b in system.backend_by_name.values()) == 4)
+    system = patient_system
+    running, release = await held_calls(system, 4)
     node = system.node_by_name.pop("a")
-    assert await node.close()
+    closing = asyncio.ensure_future(node.close())
+    await system.until(lambda: node._ingress.stopping)
+    release.set()
+    assert await closing
     assert all(got.code == 0 for got in await asyncio.gather(*running))
     got = await system.call(system.relay_by_name["caller"].address, "late")
     assert got.status is None
@@ -177,17 +194,14 @@
     patient_system: System, no_grace: None
 ) -> None:
     system = patient_system
-    for backend in system.backend_by_name.values():
-        backend.work_seconds = 0.25
-    running = [
-        asyncio.ensure_future(system.call(ingress(system), f"r{number}")) for number in range(6)
-    ]
-    backends = [system.backend_by_name[name] for name in ("b1", "b2")]
-    # Wait for all of them, so that none arrives after the close has begun and finds no slot.
-    await system.until(lambda: sum(backend.active for backend in backends) == len(running))
+    # All of them run, so that none arrives after the close has begun and finds no slot.
+    running, release = await held_calls(system, 6)
     assert system.backend_by_name["b1"].active > 0
     node = system.node_by_name.pop("b1")
-    assert await node.close()
+    closing = asyncio.ensure_future(node.close())
+    await system.until(lambda: node._hop_server.stopping)
+    release.set()
+    assert await closing
     got = await asyncio.gather(*running)
     assert [each.code for each in got] == [0] * len(running)
 
