A node of the platform path states its identity before it gets a request

What callers saw: a request that may not be repeated was answered 502 "unknown" after it had been sent, whole, to another program that listened at the address of a node that had ended; that program had run it. A request for one node could also run beside another node that had taken its address, whose data centre, drain and load the sender took for those of the first.

PeerHop sent a request on any connection to the registered address; its header names the service, not the node. Only the answer was checked (load report missing: "not a node").

Change: AdmittedExchange takes the identification of a new connection and sends the request after it. What was promised of silent nodes holds: a node that states its identity late gets the request then, while others are tried; a request that was not sent has not run, so that it is rejected (503) rather than lost (502) if the connection ends before. The probe of a suspected node asks for the identity, too. A node that answers for another is dropped from the directory.

Tests: the stand-ins for silent and faulty nodes state their identity, so that requests meet the same fault as before; each check is unchanged.

--- a/src/hoisthook/adapter/http/node_connections.py
+++ b/src/hoisthook/adapter/http/node_connections.py
@@ -11,6 +11,8 @@
 from hoisthook.exceptions import UnreachableError
 
 if TYPE_CHECKING:
+    import asyncio
+
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.client_pool import ClientPool
     from hoisthook.adapter.http.message import AnswerHead
@@ -44,6 +46,10 @@
         return self.answer.get(IDENTITY)
 
 
+class UnidentifiedError(UnreachableError):
+    """What accepts connections at a node's address does not state its identity in time."""
+
+
 class OlderNodes(Protocol):
     """Recognizes nodes of earlier versions, which do not state their identity."""
 
@@ -54,6 +60,79 @@
         """Return whether the answer can only be that of an older node with the identity."""
 
 
+class Identification:
+    """The first exchange on a connection to a node, which asks the node for its identity.
+
+    Parameters
+    ----------
+    connection : ClientConnection
+        New connection; marked with the identity once the node has stated it.
+    address : Address
+        The node's address.
+    identity : str
+        Identity that the node must state.
+    older_nodes : OlderNodes
+        Recognizes nodes of earlier versions.
+
+    Attributes
+    ----------
+    answer : asyncio.Future of AnswerHead
+        Set by `start`.
+    """
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        address: Address,
+        identity: str,
+        older_nodes: OlderNodes,
+    ) -> None:
+        self._connection = connection
+        self._address = address
+        self._identity = identity
+        self._older_nodes = older_nodes
+        self.answer: asyncio.Future[AnswerHead]
+
+    def start(self) -> None:
+        """Send the question."""
+        host = (b"host", self._address[0].encode())
+        headers = [host, *self._older_nodes.question(self._identity)]
+        self.answer = self._connection.send(encode_request_head(b"GET", IDENTITY_PATH, headers))
+
+    async def complete(self) -> None:
+        """Await the answer; the connection carries requests to the node afterwards.
+
+        Raises
+        ------
+        IdentityError
+            If something other than the node answers.
+        UnidentifiedError
+            If the connection ends before or with the answer.
+        """
+        connection = self._connection
+        try:
+            head = await self.answer
+            if not self._is_from_node(head):
+                raise IdentityError(f"{self._where}: not node {self._identity}", head)
+            while await connection.body.read():
+                pass
+        except BrokenExchangeError as error:
+            raise UnidentifiedError(f"{self._where}: no identity: {error!r}") from error
+        if not connection.reusable:
+            raise UnidentifiedError(f"{self._where}: closed after its identity")
+        connection.identity = self._identity
+
+    @property
+    def _where(self) -> str:
+        return f"{self._address[0]}:{self._address[1]}"
+
+    def _is_from_node(self, answer: AnswerHead) -> bool:
+        stated = answer.get(IDENTITY)
+        if stated is None:
+            return self._older_nodes.is_proof(answer)
+        return stated == self._identity.encode()
+
+
 class NodeConnections:
     """Provides connections on which a given node, and nothing else, answers.
 
@@ -89,45 +168,42 @@
         ------
         IdentityError
             If something other than the node answers.
+        UnidentifiedError
+            If nothing usable answers on the connection in time.
         UnreachableError
-            If no connection could be opened, or nothing answers on it in time.
+            If no connection could be opened.
         """
-        while (idle := self._pool.take_idle(address)) is not None:
-            if idle.identity == identity:
-                return idle
-            # Of another process, or opened for a message that may go to anything.
-            idle.close()
+        connection = self.take_idle(address, identity)
+        if connection is not None:
+            return connection
         connection = await self._pool.open(address, timeout)
+        identification = self.identification(connection, address, identity)
         try:
-            await self._identify(connection, address, identity, timeout)
+            async with stall_tolerant_timeout(timeout):
+                identification.start()
+                await identification.complete()
+        except TimeoutError as error:
+            connection.close()
+            raise UnidentifiedError(f"{address[0]}:{address[1]}: no identity in time") from error
         except BaseException:
             connection.close()
             raise
         return connection
 
-    async def _identify(
-        self, connection: ClientConnection, address: Address, identity: str, timeout: float
-    ) -> None:
-        headers = [(b"host", address[0].encode()), *self._older_nodes.question(identity)]
-        try:
-            async with stall_tolerant_timeout(timeout):
-                answer = await connection.send(encode_request_head(b"GET", IDENTITY_PATH, headers))
-                if not self._is_from(identity, answer):
-                    raise IdentityError(f"{address[0]}:{address[1]}: not node {identity}", answer)
-                while await connection.body.read():
-                    pass
-        except (BrokenExchangeError, TimeoutError) as error:
-            detail = f"{address[0]}:{address[1]}: no identity: {error!r}"
-            raise UnreachableError(detail) from error
-        if not connection.reusable:
-            raise UnreachableError(f"{address[0]}:{address[1]}: closed after its identity")
-        connection.identity = identity
+    def take_idle(self, address: Address, identity: str) -> ClientConnection | None:
+        """Return an idle connection to the node, or None."""
+        while (idle := self._pool.take_idle(address)) is not None:
+            if idle.identity == identity:
+                return idle
+            # Of another process, or opened for a message that may go to anything.
+            idle.close()
+        return None
 
-    def _is_from(self, identity: str, answer: AnswerHead) -> bool:
-        stated = answer.get(IDENTITY)
-        if stated is None:
-            return self._older_nodes.is_proof(answer)
-        return stated == identity.encode()
+    def identification(
+        self, connection: ClientConnection, address: Address, identity: str
+    ) -> Identification:
+        """Return the identification of a new connection, not started yet."""
+        return Identification(connection, address, identity, self._older_nodes)
 
 
 def answer_identity(exchange: ServerExchange, identity: str) -> None:
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -8,6 +8,8 @@
 from hoisthook.adapter.http.message import LAST_CHUNK
 from hoisthook.adapter.http.message import encode_chunk
 from hoisthook.adapter.http.message import encode_request_head
+from hoisthook.adapter.http.node_connections import IdentityError
+from hoisthook.adapter.http.node_connections import UnidentifiedError
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.mesh.buffered_exchange import BODYLESS_METHODS
 from hoisthook.mesh.buffered_exchange import read_buffered
@@ -21,6 +23,7 @@
 
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.adapter.http.node_connections import Identification
     from hoisthook.mesh.routed_call import RoutedCall
 
 # A node decides within milliseconds, or after a health check of up to 50 ms. On a machine that has
@@ -53,6 +56,8 @@
         Header with the data that the other node needs besides the request itself.
     held_back : bool
         Whether the body and its end are sent only when the other node asks for them.
+    identification : Identification, optional
+        Identification of the other node, for a new connection. The request is sent after it.
     """
 
     def __init__(
@@ -62,11 +67,14 @@
         hop: tuple[bytes, bytes],
         *,
         held_back: bool,
+        identification: Identification | None = None,
     ) -> None:
         self._connection = connection
         self._call = call
         self._hop = hop
         self._held_back = held_back
+        self._identification = identification
+        self._is_sent = False
         self._admitted = False
         self._deadline = 0.0
         self._answer: asyncio.Future[AnswerHead]
@@ -77,9 +85,9 @@
     ) -> tuple[AnswerHead, bytes] | Refused | Lost | None:
         """Return the answer, or the outcome of a request without one.
 
-        None means that the complete request was sent and that the other node did not respond in
-        time. It may still execute the request, so the caller either awaits `await_outcome` or
-        closes the connection.
+        None means that the other node did not respond in time. It may have received the complete
+        request and may still execute it, so the caller either awaits `await_outcome` or closes the
+        connection.
 
         Parameters
         ----------
@@ -87,15 +95,26 @@
             Seconds until the target latency of the request has passed.
         timeout : float
             Seconds until the deadline of the request.
+
+        Raises
+        ------
+        IdentityError
+            If something other than the node answers; the request was not sent.
         """
         admission_timeout = max(MIN_ADMISSION_SECONDS, ADMISSION_SHARE_OF_TARGET * target_left)
         self._deadline = asyncio.get_running_loop().time() + timeout
         return await self._bounded(self._exchange(min(ADMISSION_SECONDS, admission_timeout)))
 
-    async def await_outcome(self) -> tuple[AnswerHead, bytes] | Lost:
-        """Return the late answer of a node that did not respond in time, or the loss of it."""
+    async def await_outcome(self) -> tuple[AnswerHead, bytes] | Refused | Lost:
+        """Return the late answer of a node that did not respond in time, or the loss of it.
+
+        Raises
+        ------
+        IdentityError
+            If something other than the node answers; the request was not sent.
+        """
         answer = await self._bounded(self._finish())
-        assert isinstance(answer, tuple | Lost)
+        assert answer is not None
         return answer
 
     async def _bounded(
@@ -107,26 +126,42 @@
         except TimeoutError:
             self._connection.close()
             return self._lost(ResultCode.DEADLINE_DURING_RUN, is_silent=True)
-        except BrokenExchangeError:
+        except (BrokenExchangeError, UnidentifiedError):
             self._connection.close()
             return self._lost(ResultCode.ANSWER_LOST, is_silent=False)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, IdentityError):
             self._connection.close()
             raise
 
     async def _exchange(self, admission_timeout: float) -> tuple[AnswerHead, bytes] | None:
-        connection = self._connection
-        self._answer = connection.send(
+        if await self._is_identified(admission_timeout):
+            await self._send()
+            if await self._await_admission(admission_timeout):
+                return await self._finish()
+        if self._held_back:
+            raise TimeoutError
+        return None
+
+    async def _is_identified(self, timeout: float) -> bool:
+        """Return whether the other node has stated its identity in time, if that is required."""
+        if self._identification is None:
+            return True
+        self._identification.start()
+        await asyncio.wait((self._identification.answer,), timeout=timeout)
+        return self._identification.answer.done()
+
+    async def _send(self) -> None:
+        if self._identification is not None:
+            await self._identification.complete()
+        self._is_sent = True
+        self._answer = self._connection.send(
             self._first_bytes(), bodyless_answer=self._call.method == b"HEAD"
         )
-        self._continued = connection.go_ahead()
-        if not await self._await_admission(admission_timeout):
-            if self._held_back:
-                raise TimeoutError
-            return None
-        return await self._finish()
+        self._continued = self._connection.go_ahead()
 
     async def _finish(self) -> tuple[AnswerHead, bytes]:
+        if not self._is_sent:
+            await self._send()
         self._admitted = await self._continued
         if self._held_back:
             self._connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
@@ -169,6 +204,6 @@
     def _lost(self, code: ResultCode, *, is_silent: bool) -> Refused | Lost:
         if self._admitted:
             return Lost(code)
-        if not self._held_back:
+        if self._is_sent and not self._held_back:
             return Lost(ResultCode.ANSWER_LOST, admitted=False, is_silent=is_silent)
         return Refused(ResultCode.NODE_SILENT, SILENT_RETRY_SECONDS)
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -9,6 +9,8 @@
 
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.adapter.http.node_connections import IDENTITY_PATH
+from hoisthook.adapter.http.node_connections import answer_identity
 from hoisthook.adapter.loop_stalls import LoopStalls
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
@@ -357,7 +359,9 @@
         self.link.evacuate(evacuated=self.directory.me.data_centre in self.evacuations)
 
     async def _serve_peer(self, exchange: ServerExchange) -> None:
-        if exchange.head.target == SYNC_PATH:
+        if exchange.head.target == IDENTITY_PATH:
+            answer_identity(exchange, self.directory.me.node)
+        elif exchange.head.target == SYNC_PATH:
             await self.sync.answer(exchange)
         elif exchange.head.target == QUOTA_PATH:
             await self._quotas.serve(exchange)
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -7,12 +7,15 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import end_to_end
+from hoisthook.adapter.http.node_connections import IdentityError
+from hoisthook.adapter.http.node_connections import NodeConnections
 from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.exceptions import UnreachableError
 from hoisthook.mesh import hop_header
 from hoisthook.mesh.admitted_exchange import AdmittedExchange
 from hoisthook.mesh.hop_header import HopHeader
 from hoisthook.mesh.node_load import NodeLoad
+from hoisthook.mesh.older_nodes import OlderMeshNodes
 from hoisthook.mesh.outcome import CompleteAnswer
 from hoisthook.mesh.outcome import PendingOutcome
 from hoisthook.node.call import Lost
@@ -93,6 +96,7 @@
         log: EventLog,
     ) -> None:
         self._pool = pool
+        self._connections = NodeConnections(pool, OlderMeshNodes())
         self._local_backend = local_backend
         self._directory = directory
         self._sync = sync
@@ -112,8 +116,15 @@
         self._probes.start(self._probe(view))
 
     async def _probe(self, view: PeerView) -> None:
-        connection = await self._open(view)
-        if not isinstance(connection, Refused):
+        try:
+            connection = await self._connections.acquire(
+                view.address, view.peer.node, CONNECT_SECONDS
+            )
+        except IdentityError as error:
+            self._record_wrong_node(view, error)
+        except UnreachableError as error:
+            self._refuse_unreachable(view, error)
+        else:
             view.connected()
             self._directory.reachability_reports.note(
                 view.peer.node, self._clock.now(), reached=True
@@ -151,9 +162,16 @@
     async def _run_remote(
         self, view: PeerView, call: RoutedCall, admission: Admission
     ) -> Outcome | PendingOutcome:
-        connection = await self._connect(view)
-        if isinstance(connection, Refused):
-            return connection
+        identification = None
+        connection = self._connections.take_idle(view.address, view.peer.node)
+        if connection is None:
+            opened = await self._open(view)
+            if isinstance(opened, Refused):
+                return opened
+            connection = opened
+            identification = self._connections.identification(
+                connection, view.address, view.peer.node
+            )
         now = self._clock.now()
         header = HopHeader(
             service=call.service,
@@ -175,9 +193,14 @@
             call,
             (hop_header.HOP, header.encode()),
             held_back=call.held_back or view.may_be_unresponsive(now),
+            identification=identification,
         )
         sent = _SentRequest(view, call, connection, now)
-        reply = await exchange.run(target_left=header.target_left, timeout=header.time_left)
+        try:
+            reply = await exchange.run(target_left=header.target_left, timeout=header.time_left)
+        except IdentityError as error:
+            self._record_wrong_node(view, error)
+            return Refused(ResultCode.UNREACHABLE, DEFAULT_RETRY_SECONDS)
         if reply is not None:
             return self._resolve(sent, reply)
         view.silent(self._clock.now())
@@ -191,11 +214,14 @@
         check = asyncio.ensure_future(self._close_if_unreachable(sent))
         try:
             reply = await exchange.await_outcome()
+        except IdentityError as error:
+            self._record_wrong_node(sent.view, error)
+            return Refused(ResultCode.UNREACHABLE, DEFAULT_RETRY_SECONDS)
         finally:
             check.cancel()
             sent.view.ended()
         outcome = self._resolve(sent, reply)
-        if not isinstance(reply, Lost):
+        if not isinstance(reply, Lost | Refused):
             node = sent.view.peer.node
             self._directory.reachability_reports.note(node, self._clock.now(), reached=True)
             self._log.decision("hop_heard", **self._log_fields(sent))
@@ -220,24 +246,24 @@
         head, body = reply
         return self._decode_answer(sent.view, sent.call, head, body)
 
-    async def _connect(self, view: PeerView) -> ClientConnection | Refused:
-        connection = self._pool.take_idle(view.address)
-        if connection is not None:
-            return connection
-        return await self._open(view)
+    def _record_wrong_node(self, view: PeerView, error: IdentityError) -> None:
+        reason = "not a node" if error.other_node is None else "another node at its address"
+        self._directory.forget(view.peer.node, reason)
 
     async def _open(self, view: PeerView) -> ClientConnection | Refused:
         try:
             return await self._pool.open(view.address, CONNECT_SECONDS)
         except UnreachableError as error:
-            seconds = view.unreachable(self._clock.now())
-            self._directory.reachability_reports.note(
-                view.peer.node, self._clock.now(), reached=False
-            )
-            self._log.event(
-                "peer_unreachable", peer=view.peer.node, closed_for=seconds, reason=str(error)
-            )
-            return Refused(ResultCode.UNREACHABLE, seconds)
+            return self._refuse_unreachable(view, error)
+
+    def _refuse_unreachable(self, view: PeerView, error: UnreachableError) -> Refused:
+        now = self._clock.now()
+        seconds = view.unreachable(now)
+        self._directory.reachability_reports.note(view.peer.node, now, reached=False)
+        self._log.event(
+            "peer_unreachable", peer=view.peer.node, closed_for=seconds, reason=str(error)
+        )
+        return Refused(ResultCode.UNREACHABLE, seconds)
 
     def _mark_unreachable(self, view: PeerView) -> None:
         view.unreachable(self._clock.now())
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from hoisthook.adapter.http.node_connections import IDENTITY
+from hoisthook.adapter.http.node_connections import IDENTITY_PATH
 from hoisthook.admission.demand import Demand
 from hoisthook.identity import DataCentre
 from hoisthook.identity import NodeId
@@ -24,15 +26,16 @@
     from standin.mesh_system import MeshSystem
 
 BODY = b"amount=5&" * 100
+FAULTY_NODE = NodeId("odd")
 
 
 class FaultyPeer:
-    """A node that reads requests and then stays silent, drops them or sends a fixed answer.
+    """A node that states its identity, and then stays silent, drops requests or answers the same.
 
     Attributes
     ----------
     received : bytearray
-        All bytes that were sent to it.
+        All bytes that were sent to it after the question for its identity.
     connections : int
         Number of connections opened to it.
     """
@@ -58,6 +61,12 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         while data := await reader.read(65536):
+            if data.startswith(b"GET " + IDENTITY_PATH):
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\n%b: %b\r\ncontent-length: 0\r\n\r\n"
+                    % (IDENTITY, FAULTY_NODE.encode())
+                )
+                continue
             self.received += data
             if self._drops and b"\r\n\r\n" in self.received:
                 writer.transport.abort()
@@ -83,7 +92,7 @@
     ingress = await system.add("front")
     healthy = await system.add("shop", data_centre="two")
     system.merge_all_peers()
-    faulty_peer = Peer(NodeId("odd"), await faulty.start(), ServiceName("shop"), DataCentre("one"))
+    faulty_peer = Peer(FAULTY_NODE, await faulty.start(), ServiceName("shop"), DataCentre("one"))
     ingress.node.directory.merge([faulty_peer], "test")
     system.publish(1, RouteOptions("shop", safe=safe))
     await system.until_configured(1)
@@ -188,7 +197,7 @@
     await system.until_configured(2)
     assert (await system.call(ingress, method=b"POST", body=BODY))[0] == 200
     assert faulty.received.count(BODY) == 1
-    (view,) = [v for v in ingress.node.directory.others() if v.peer.node == "odd"]
+    (view,) = [v for v in ingress.node.directory.others() if v.peer.node == FAULTY_NODE]
     view.connected()
     view.closed_until = 0.0
     assert (await system.call(ingress, method=b"POST", body=BODY))[0] == 200
--- a/tests/mesh/test_silent_node.py
+++ b/tests/mesh/test_silent_node.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hoisthook.adapter.http.node_connections import IDENTITY_PATH
 from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.mesh import mesh_node
 from standin.mesh_backend import Fault
@@ -33,10 +34,12 @@
 class Stall:
     """Keeps a node from processing requests, as a blocked event loop does.
 
-    Closed connections are not noticed during the stall either.
+    Closed connections are not noticed during the stall either. The node still states its identity
+    unless ``from_identity`` is set, so that requests are sent to it.
     """
 
-    def __init__(self, machine: Machine) -> None:
+    def __init__(self, machine: Machine, *, from_identity: bool = False) -> None:
+        self._from_identity = from_identity
         self.reached = asyncio.Event()
         self.over = asyncio.Event()
         self.handled = 0
@@ -45,6 +48,9 @@
         machine.node._peers.handler = self._wait
 
     async def _wait(self, exchange: ServerExchange) -> None:
+        if exchange.head.target == IDENTITY_PATH and not self._from_identity:
+            await self._handle(exchange)
+            return
         exchange.cancel_on_disconnect = False
         self.reached.set()
         await self.over.wait()
@@ -76,12 +82,12 @@
 
 
 async def call_stalled_node(
-    system: MeshSystem,
+    system: MeshSystem, method: bytes = b"GET", *, from_identity: bool = False
 ) -> tuple[Machine, Stall, asyncio.Task[tuple[int, dict[bytes, bytes], bytes]]]:
     """Return the stalled node, its stall, and the task of a call that is blocked there."""
     ingress, server = await ingress_and_server(system)
-    stall = Stall(server)
-    call_task = start_call(system, ingress)
+    stall = Stall(server, from_identity=from_identity)
+    call_task = start_call(system, ingress, method)
     await stall.reached.wait()
     return server, stall, call_task
 
@@ -127,6 +133,41 @@
     assert len(system.log.named("hop_heard")) == 1
 
 
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+async def test_late_answer_of_a_node_that_states_its_identity_late_is_delivered(
+    system: MeshSystem, method: bytes
+) -> None:
+    server, stall, call_task = await call_stalled_node(system, method, from_identity=True)
+    await until(lambda: is_silence_logged(system))
+    stall.over.set()
+    assert (await call_task)[0] == 200
+    assert len(server.backend.runs) == 1
+
+
+async def test_node_that_has_not_stated_its_identity_runs_nothing_after_another_has(
+    system: MeshSystem,
+) -> None:
+    server, stall, call_task = await call_stalled_node(system, from_identity=True)
+    other = await system.add("shop", data_centre="three")
+    system.merge_all_peers()
+    assert (await call_task)[0] == 200
+    assert len(other.backend.runs) == 1
+    stall.over.set()
+    await until(lambda: stall.handled > 0)
+    assert server.backend.arrivals == []
+
+
+async def test_request_to_a_node_that_ends_without_stating_its_identity_has_not_run(
+    system: MeshSystem,
+) -> None:
+    server, stall, call_task = await call_stalled_node(system, b"POST", from_identity=True)
+    server.node._peers.abort()
+    await until(call_task.done)
+    assert (await call_task)[0] == 503
+    assert server.backend.arrivals == []
+    stall.over.set()
+
+
 async def test_silent_node_answers_after_another_node_has_rejected_the_request(
     system: MeshSystem,
 ) -> None:
--- a/tests/node/foreign_server.py
+++ b/tests/node/foreign_server.py
@@ -21,12 +21,15 @@
         Heads of all requests received.
     stated_identity : str
         Identity that its answers state, as only a faulty program would; empty for none.
+    is_silent : bool
+        Whether it reads requests and answers none.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.heads: list[bytes] = []
         self.stated_identity = ""
+        self.is_silent = False
 
     def requests(self) -> list[bytes]:
         """Return the request lines of all but the questions for a node's identity."""
@@ -41,6 +44,8 @@
             self.heads.append(head)
             fields = dict(line.split(b": ", 1) for line in head.split(b"\r\n")[1:-2])
             await reader.readexactly(int(fields.get(b"content-length", b"0")))
+            if self.is_silent:
+                continue
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 7\r\n")
             if self.stated_identity:
                 writer.write(b"%b: %b\r\n" % (IDENTITY, self.stated_identity.encode()))
