A late refusal does not undo the end of a request's tries

What callers saw: nothing certain. By the code, a request whose tries were over could be tried again: work that several backend servers had ended with was offered to one more (WORK_ENDS_SERVERS is to hold for all nodes), and a route's attempts could be exceeded by one.

Cause: RoutedProgress had one flag for all reasons to stop. When a node that had been silent refused late, _retract_attempt cleared it, whoever had set it: the deadline, a refusal that holds for all nodes, the attempts of other nodes.

Evidence: five of the new cases of test_routed_progress.py fail before (three final outcomes, the limit reached by another attempt, the target passed after a run); they need a silent node whose outcome comes after the final one. Not possible for a request that may not be repeated: it is held back and never pending.

Change: the end of the tries and the limit that open attempts set are kept apart; a retracted attempt takes back only the second, and computes it anew if other attempts may have run.

--- a/src/hoisthook/mesh/routed_progress.py
+++ b/src/hoisthook/mesh/routed_progress.py
@@ -66,8 +66,6 @@
         Last node tried.
     answer : CompleteAnswer or None
         Answer to forward to the caller.
-    no_more_tries : bool
-        Whether no further try may be made.
     is_refusal_final : bool
         Whether a refusal holds for all nodes.
     """
@@ -84,8 +82,9 @@
     pending_outcomes: dict[asyncio.Task[Outcome], NodeId] = field(default_factory=dict)
     node: str = ""
     answer: CompleteAnswer | None = None
-    no_more_tries: bool = False
     is_refusal_final: bool = False
+    _is_over: bool = False
+    _is_limit_reached: bool = False
     _lost: Lost | None = None
     _failure: CompleteAnswer | None = None
     _shortest_retry_after: float = float("inf")
@@ -96,6 +95,11 @@
         """Return the number of backend servers that the request may have reached."""
         return self._may_run + self.rejected
 
+    @property
+    def no_more_tries(self) -> bool:
+        """Return whether no further try may be made."""
+        return self._is_over or self._is_limit_reached
+
     @property
     def _may_run(self) -> int:
         return self.ran + self.lost_outcomes + len(self.pending_outcomes)
@@ -124,7 +128,7 @@
             node = self.pending_outcomes.pop(task)
             outcome = task.result()
             if isinstance(outcome, Refused):
-                self._retract_attempt()
+                self._retract_attempt(now)
             self.record(node, outcome, now)
 
     def cancel_pending(self) -> None:
@@ -151,8 +155,11 @@
             return Lost(ResultCode.ANSWER_LOST, admitted=False, is_silent=True)
         return Refused(self._refusal_code, max(min_retry_after, self._shortest_retry_after))
 
-    def _retract_attempt(self) -> None:
-        self.no_more_tries = False
+    def _retract_attempt(self, now: float) -> None:
+        """Undo what the start of an attempt that did not run has limited, and nothing else."""
+        self._is_limit_reached = False
+        if self._may_run:
+            self._limit_tries(now)
         self._hold_back_last_attempt()
         if self._may_run + self.rejected == 0:
             # The request has not reached any backend server.
@@ -174,27 +181,27 @@
         if refused.code not in _MAY_QUEUE_CODES:
             self.excluded.add(node)
         if refused.code in _FINAL_CODES:
-            self.is_refusal_final = self.no_more_tries = True
+            self.is_refusal_final = self._is_over = True
 
     def _record_execution(self, outcome: CompleteAnswer | Lost, now: float) -> None:
         self.ran += 1
         if isinstance(outcome, Lost):
             self._lost = outcome
             if outcome.code is ResultCode.DEADLINE_DURING_RUN:
-                self.no_more_tries = True
+                self._is_over = True
         elif outcome.status not in FAILURE_STATUSES:
             self.answer = outcome
             return
         else:
             self._failure = outcome
         if not self.call.repeatable:
-            self.no_more_tries = True
+            self._is_over = True
         self.call.arrival = Arrival.RERUN
         self._limit_tries(now)
 
     def _limit_tries(self, now: float) -> None:
         if self._may_run >= self.call.max_attempts or self.call.target_left(now) <= 0:
-            self.no_more_tries = True
+            self._is_limit_reached = True
         self._hold_back_last_attempt()
 
     def _hold_back_last_attempt(self) -> None:
--- a/tests/mesh/test_routed_progress.py
+++ b/tests/mesh/test_routed_progress.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from hoisthook.identity import NodeId
 from hoisthook.identity import RequestId
 from hoisthook.identity import RouteName
@@ -123,3 +125,39 @@
     state.record(FIRST, Refused(ResultCode.WORK_ENDS_SERVERS, 1.0), NOW)
     assert state.is_refusal_final
     assert state.no_more_tries
+
+
+@pytest.mark.parametrize(
+    "final",
+    [
+        Refused(ResultCode.WORK_ENDS_SERVERS, 0.0),
+        Refused(ResultCode.DEADLINE_PASSED, 0.0),
+        Lost(ResultCode.DEADLINE_DURING_RUN),
+    ],
+)
+async def test_late_refusal_does_not_undo_the_end_of_the_tries(final: Refused | Lost) -> None:
+    """Guards against further tries of work that ends the servers that run it."""
+    state = progress(max_attempts=3)
+    await record_silent(state, FIRST, Refused(ResultCode.SLOTS_FULL, 0.1))
+    state.record(SECOND, final, NOW)
+    state.record_late(NOW)
+    assert state.no_more_tries
+
+
+async def test_late_refusal_leaves_the_limit_that_other_attempts_reach() -> None:
+    state = progress(max_attempts=1)
+    await record_silent(state, FIRST, Refused(ResultCode.SLOTS_FULL, 0.1))
+    state.record(SECOND, FAILURE, NOW)
+    state.record_late(NOW)
+    assert state.no_more_tries
+
+
+async def test_late_refusal_of_a_request_whose_target_has_passed_ends_the_tries_after_a_run() -> (
+    None
+):
+    state = progress(max_attempts=3)
+    await record_silent(state, FIRST, Refused(ResultCode.SLOTS_FULL, 0.1))
+    state.record(SECOND, FAILURE, NOW)
+    assert not state.no_more_tries
+    state.record_late(1.5)
+    assert state.no_more_tries
