A newer view of the evacuated data centres counts although it is the same

What callers saw: nothing certain. By the code, requests could be sent to a data centre that operators had evacuated, restored and evacuated again, until the next change of the evacuations.

Cause: Evacuations.offer left its revision as it was when a newer view held the same set. A view between the two, from a peer that was behind, was then newer than what the node had confirmed, and was accepted. Peers that polled the node with that view's revision were sent nothing, since the node's own was lower.

Change: the revision is raised; listeners are called for changes only, as before, so that no held poll is woken. A peer with a lower revision is sent the newer one with its next reply.

--- a/src/hoisthook/traffic/evacuations.py
+++ b/src/hoisthook/traffic/evacuations.py
@@ -44,13 +44,15 @@
     def offer(
         self, revision: int, data_centres: Iterable[DataCentre], source: ConfigurationSource
     ) -> bool:
-        """Accept a newer view unless it holds the same set; return whether it was accepted."""
+        """Accept a newer view; return whether it changes the set or is the first.
+
+        A newer view with the same set counts as well: otherwise an older view with another set, as
+        a peer that is behind may offer it, would be accepted after it.
+        """
         if revision <= self.revision:
             return False
         evacuated = frozenset(data_centres)
-        if evacuated == self.data_centres and self.revision >= 0:
-            # The same set at a later position in the log: peers need no update.
-            return False
+        is_first = self.revision < 0
         is_change = evacuated != self.data_centres
         self.revision = revision
         self.data_centres = evacuated
@@ -61,6 +63,7 @@
                 revision=revision,
                 source=source.value,
             )
-        for listener in self._listeners:
-            listener()
-        return True
+        if is_change or is_first:
+            for listener in self._listeners:
+                listener()
+        return is_change or is_first
