--- a/src/hoisthook/configuration/configuration_follower.py
+++ b/src/hoisthook/configuration/configuration_follower.py
@@ -202,10 +202,11 @@
         await self._read_snapshots()
         if not self._snapshot_due():
             return
-        payload = msgspec.json.encode(self._state.snapshot())
-        self._snapshot_offset = self._state.offset
+        snapshot = self._state.snapshot()
+        await self._log.append(SNAPSHOTS_STREAM, msgspec.json.encode(snapshot))
+        # A failed append is repeated; one whose answer was lost is found by reading the snapshots.
+        self._snapshot_offset = snapshot.offset
         self._snapshot_seen_at = self._clock.now()
-        await self._log.append(SNAPSHOTS_STREAM, payload)
 
     def _snapshot_due(self) -> bool:
         if self._state.offset - self._snapshot_offset >= SNAPSHOT_EVERY_RECORDS:
--- a/tests/configuration/test_configuration_writer.py
+++ b/tests/configuration/test_configuration_writer.py
@@ -18,6 +18,7 @@
 from hoisthook.configuration.configuration_state import ConfigurationState
 from hoisthook.configuration.configuration_writer import ConfigurationWriter
 from hoisthook.configuration.service_spec import ServiceSpec
+from hoisthook.exceptions import AppendUnknownError
 from hoisthook.result_code import ResultCode
 from tests.fakes import FakeClock
 from tests.fakes import FakeLog
@@ -201,6 +202,36 @@
     assert isinstance(await new.writer.submit(change("3", base=2, timeout=8)), Ok)
 
 
+async def test_snapshot_that_was_lost_on_the_way_is_written_again(
+    log: FakeLog, clock: FakeClock, peers: FakePeers
+) -> None:
+    """Guards against records that expire although no snapshot covers them."""
+    node = make_node(log, clock, peers)
+    await node.writer.submit(change("1"))
+    clock.advance(30.0)
+    log.lose_requests = 1
+    with pytest.raises(AppendUnknownError):
+        await node.follower.keep_snapshot()
+    await node.follower.keep_snapshot()
+    log.expire(CHANGES_STREAM, 0)
+    new = make_node(log, clock, peers)
+    await new.follower.read_log()
+    assert new.state.snapshot() == node.state.snapshot()
+
+
+async def test_snapshot_whose_confirmation_was_lost_is_not_written_twice(
+    log: FakeLog, clock: FakeClock, peers: FakePeers
+) -> None:
+    node = make_node(log, clock, peers)
+    await node.writer.submit(change("1"))
+    clock.advance(30.0)
+    log.lose_answers = 1
+    with pytest.raises(AppendUnknownError):
+        await node.follower.keep_snapshot()
+    await node.follower.keep_snapshot()
+    assert len(log.records_by_stream[SNAPSHOTS_STREAM]) == 1
+
+
 async def test_racing_snapshots_are_harmless(
     log: FakeLog, clock: FakeClock, peers: FakePeers
 ) -> None:
