A team gets its token back when a request ends during its upload

What callers saw: requests of a team refused with 429 although its quota was not used up, after requests of the same team whose body was too large (413), or whose caller had left during the upload. None of these had run.

Cause: Ingress._serve returned the token on a time-out of the upload, but not for a body over the limit, a broken connection, or a handler that is cancelled because the caller has disconnected.

Evidence: the two new cases of test_team_quota.py. With 8 tokens of burst, the ninth or a later of 20 oversized requests was answered 429 instead of 413; a caller that leaves returned nothing.

Change: a request that was not handed to the dispatcher returns its token, whatever ended it, in one place.

--- a/src/hoisthook/mesh/ingress.py
+++ b/src/hoisthook/mesh/ingress.py
@@ -199,12 +199,14 @@
             exchange.abort()
             return
         except TimeoutError:
-            if not sent:
-                self._return_token(accepted)
             lost = Lost(ResultCode.DEADLINE_DURING_RUN)
             outcome = lost if sent else Refused(ResultCode.REQUEST_TIMEOUT, 0.0)
             self._finish_unserved(exchange, accepted, outcome)
             return
+        finally:
+            # The handler is cancelled if the caller disconnects during the upload.
+            if not sent:
+                self._return_token(accepted)
         if isinstance(dispatched.outcome, Refused):
             self._return_token(accepted)
         if isinstance(dispatched.outcome, CompleteAnswer):
--- a/standin/published_configuration.py
+++ b/standin/published_configuration.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+MAX_BODY_BYTES = 100_000
+
 
 class RouteOptions(msgspec.Struct, frozen=True):
     """A route to publish.
@@ -107,7 +109,7 @@
         resources.append({"type": "tenants", "metadata": {"name": team.name}, "spec": team_spec})
     limits = {
         "maxHeaderBytes": 8192,
-        "maxBodyBytes": 100_000,
+        "maxBodyBytes": MAX_BODY_BYTES,
         "headerTimeoutS": 3,
         "idleTimeoutS": 15,
     }
--- a/tests/mesh/test_team_quota.py
+++ b/tests/mesh/test_team_quota.py
@@ -5,12 +5,19 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from hoisthook.mesh.team_quotas import TeamQuotas
 from hoisthook.settings.mesh_settings import MeshTeamSettings
 from standin.mesh_backend import Fault
+from standin.published_configuration import MAX_BODY_BYTES
 from standin.published_configuration import RouteOptions
 from standin.published_configuration import TeamOptions
+from tests.waiting import until
 
 if TYPE_CHECKING:
+    import pytest
+
+    from hoisthook.teams.quota_verdict import Token
+    from hoisthook.teams.team import Team
     from standin.mesh_system import Machine
     from standin.mesh_system import MeshSystem
 
@@ -18,6 +25,7 @@
 PORT = TeamOptions("port", ("key",), per_second=10.0, burst=10.0)
 # Tokens accrue so slowly that used ones are not replaced during the test.
 SLOW = TeamOptions("port", ("key",), per_second=0.1, burst=8.0)
+OVERSIZED = bytes(MAX_BODY_BYTES + 1)
 OTHER = TeamOptions("other", ("other-key",))
 BOUND = (10.0 * 5.0 + 10.0) * 1.1 + 10.0
 
@@ -82,6 +90,38 @@
     assert await send_calls(system, ingresses[:1], 6) == [200] * 6
 
 
+async def test_request_with_an_oversized_body_returns_its_token(system: MeshSystem) -> None:
+    ingresses, _ = await ingresses_and_server(system, SLOW)
+    await asyncio.sleep(6.0)
+    for _ in range(20):
+        status, _, _ = await system.call(ingresses[0], method=b"POST", body=OVERSIZED, key="key")
+        assert status == 413
+    assert await send_calls(system, ingresses[:1], 6) == [200] * 6
+
+
+async def test_caller_that_leaves_during_the_upload_gives_its_token_back(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    returned: list[object] = []
+    not_run = TeamQuotas.not_run
+
+    def count(quotas: TeamQuotas, team: Team, token: Token) -> None:
+        returned.append(token)
+        not_run(quotas, team, token)
+
+    monkeypatch.setattr(TeamQuotas, "not_run", count)
+    ingresses, _ = await ingresses_and_server(system, PORT)
+    _, writer = await asyncio.open_connection(*ingresses[0].node.callers_address)
+    writer.write(
+        b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: left\r\n"
+        b"authorization: Bearer key\r\ncontent-length: 1000\r\n\r\nhalf"
+    )
+    # The upload has begun by the time at which a later request is answered.
+    assert (await system.call(ingresses[0], key="key"))[0] == 200
+    writer.transport.abort()
+    await until(lambda: len(returned) == 1)
+
+
 async def test_quota_continues_after_its_owner_node_is_gone(
     system: MeshSystem,
 ) -> None:
