Drains of the platform path have tests that fail without each of their parts

Cause: a draining backend server is kept from work at three places, and the last one, which refuses an admitted request before it is sent, hides the loss of the others; it had no entry and no test itself, so the promise (DRAIN) rested on a line that nothing covered. The test of waiting requests ended the running ones before it looked, so a request that stayed in the queue was refused by that last check as well.

--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -33,6 +33,13 @@
     from standin.mesh_system import Machine
     from standin.mesh_system import MeshSystem
 
+# A request whose sender sends the body once the node asks for it.
+HELD_BACK_HEAD = (
+    b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
+    b"transfer-encoding: chunked\r\n"
+    b"hoisthook-hop: shop front r-0 q d 1 2000 1000 0 f 0i 0\r\n\r\n"
+)
+
 
 @pytest.fixture(autouse=True)
 def short_linger(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -114,6 +121,8 @@
     drained = first if first.node.link.gate.waiting else second
     arrivals = len(drained.backend.arrivals)
     assert await drained.send_heartbeat("draining") == 200
+    # It is refused at once, not when a slot becomes free.
+    assert drained.node.link.gate.waiting == 0
     for machine in (first, second):
         machine.backend.may_finish.set()
     await waiting
@@ -121,6 +130,37 @@
     assert len(drained.backend.arrivals) == arrivals
 
 
+async def test_node_of_a_draining_backend_server_refuses_without_asking_for_the_body(
+    system: MeshSystem,
+) -> None:
+    """A sender with an outdated view loses no time: it is refused before it sends the body."""
+    _, server = await ingress_and_shops(system, 1)
+    assert await server.send_heartbeat("draining") == 200
+    reader, writer = await asyncio.open_connection(*server.node.peers_address)
+    writer.write(HELD_BACK_HEAD)
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.split()[1] == b"503"
+    assert b"hoisthook-result: 2003\r\n" in head
+    assert server.backend.arrivals == []
+    writer.close()
+
+
+async def test_admitted_request_is_not_sent_if_its_backend_server_drains_before_the_body_arrives(
+    system: MeshSystem,
+) -> None:
+    _, server = await ingress_and_shops(system, 1)
+    reader, writer = await asyncio.open_connection(*server.node.peers_address)
+    writer.write(HELD_BACK_HEAD)
+    assert (await reader.readuntil(b"\r\n\r\n")).split()[1] == b"100"
+    assert await server.send_heartbeat("draining") == 200
+    writer.write(b"1\r\n5\r\n0\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.split()[1] == b"503"
+    assert b"hoisthook-result: 2003\r\n" in head
+    assert server.backend.arrivals == []
+    writer.close()
+
+
 async def test_no_more_backend_servers_run_a_request_than_its_route_allows(
     system: MeshSystem,
 ) -> None:
