--- a/src/hoisthook/console/commands/explain.py
+++ b/src/hoisthook/console/commands/explain.py
@@ -20,6 +20,7 @@
 
 # Fields of every log line, printed at the start of the output line.
 _HEAD_FIELDS = frozenset({"time", "node", "event", "request"})
+LINE_START = b'{"time"'
 MAX_SUMMARY_ROWS = 40
 MS_PER_SECOND = 1000.0
 
@@ -96,7 +97,7 @@
         line = _decode(raw)
         if line is None or line.event != "answered":
             continue
-        fields = msgspec.json.decode(raw, type=dict[str, object])
+        fields = _all_fields(raw)
         code = fields.get("code")
         if isinstance(code, int) and code != ResultCode.OK.number:
             counts[(code, str(fields.get("service", "-")), line.node)] += 1
@@ -132,7 +133,7 @@
 
 def _decode(raw: bytes) -> LogLine | None:
     """Return the parsed head of a line; None if it is not a log line, as other programs' output."""
-    start = raw.find(b'{"time"')
+    start = raw.find(LINE_START)
     if start < 0:
         return None
     try:
@@ -141,10 +142,14 @@
         return None
 
 
+def _all_fields(raw: bytes) -> dict[str, object]:
+    """Return the fields of a log line, which a collector may have prefixed."""
+    return msgspec.json.decode(raw[raw.find(LINE_START) :], type=dict[str, object])
+
+
 def _fields(raw: bytes) -> str:
-    fields = msgspec.json.decode(raw[raw.find(b'{"time"') :], type=dict[str, object])
     shown = []
-    for name, value in fields.items():
+    for name, value in _all_fields(raw).items():
         if name in _HEAD_FIELDS:
             continue
         if name == "code" and isinstance(value, int):
--- a/tests/console/test_explain.py
+++ b/tests/console/test_explain.py
@@ -1,13 +1,12 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from hoisthook.console.application import run
 
 if TYPE_CHECKING:
-    from pathlib import Path
-
     import pytest
 
 LINES: list[dict[str, object]] = [
@@ -64,3 +63,14 @@
 ) -> None:
     assert run(["explain", str(tmp_path / "none")]) == 2
     assert capsys.readouterr().err.startswith("5007 LOG_FILE_UNREADABLE")
+
+
+def test_summary_reads_lines_that_a_collector_has_prefixed(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "collected.log"
+    lines = Path(write_log(tmp_path)).read_text().splitlines()
+    path.write_text("".join(f"n-1 | {line}\n" for line in lines))
+    assert run(["explain", str(path)]) == 0
+    summary = " ".join(capsys.readouterr().out.split())
+    assert summary == "1 2006 SLOTS_FULL service s at n-1"
