put-service refuses a file that is nested too deeply with a number

What operators saw: a traceback (RecursionError) instead of 5002.

Cause: the TOML parser recurses; the settings file's loader expects that, load_spec did not.

--- a/src/hoisthook/console/commands/put_service.py
+++ b/src/hoisthook/console/commands/put_service.py
@@ -54,7 +54,7 @@
         spec = msgspec.convert(tomllib.loads(path.read_bytes().decode()), ServiceSpec)
     except OSError as error:
         raise SettingsError(ResultCode.SETTINGS_UNREADABLE, f"{path}: {error}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(ResultCode.SETTINGS_SYNTAX, f"{path}: {error}") from error
     except msgspec.ValidationError as error:
         raise SettingsError(ResultCode.SETTINGS_INVALID, f"{path}: {error}") from error
