The capacity benchmark runs as a program

Cause: it builds a key register and gossip outside an event loop with the clock of the event loop.

Change: a clock of the process.

--- a/benchmark/capacity.py
+++ b/benchmark/capacity.py
@@ -37,7 +37,6 @@
 from hoisthook.membership.member import MemberStatus
 from hoisthook.membership.member_table import MemberTable
 from hoisthook.membership.reader_choice import is_reader
-from hoisthook.node.loop_clock import LoopClock
 from hoisthook.port.platform_log import LogRecord
 from hoisthook.routing.policy import ExpectedTime
 from hoisthook.routing.router import Router
@@ -153,9 +152,17 @@
     return best
 
 
+class ProcessClock:
+    """Clock for components that are measured outside an event loop."""
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+        return time.monotonic()
+
+
 def key_register_of(count: int) -> KeyRegister:
     """Return a register with ``count`` answered keys."""
-    register = KeyRegister("n", "i", LoopClock(), random.Random(1), max_records=count + 1)  # type: ignore[arg-type]
+    register = KeyRegister("n", "i", ProcessClock(), random.Random(1), max_records=count + 1)  # type: ignore[arg-type]
     answer = KeptAnswer(200, ((b"content-type", b"application/json"),), b"x" * 200, "b")
     for _ in range(count):
         key = parse_key(register.issue("svc"))  # type: ignore[arg-type]
@@ -221,7 +228,7 @@
 
 
 def _merge_micros(table: MemberTable) -> float:
-    gossip = Gossip(table, None, LoopClock(), random.Random(1), seeds=[], interval=0.5)  # type: ignore[arg-type]
+    gossip = Gossip(table, None, ProcessClock(), random.Random(1), seeds=[], interval=0.5)  # type: ignore[arg-type]
     members = tuple(member(number) for number in range(1, 13))
     message = msgspec.json.encode(Exchange(member(1), members, 0, 0))
 
