The model counts requests while every server is gone as failed

What was seen: a load pattern in which all servers of all services are gone ended with ValueError, empty range for randrange.

Cause: the model draws the ingress node of a request from the nodes whose server is there, without regard to there being none.

Evidence: test_requests_while_every_server_is_gone_count_as_failed fails before.

Change: such a request fails at its caller at once, as a call to a closed port does, and counts among the failed.

--- a/src/hoisthook/experiment/modelled_system.py
+++ b/src/hoisthook/experiment/modelled_system.py
@@ -170,6 +170,9 @@
             burst = self._strength(DisruptionKind.BURST, 1.0)
             await asyncio.sleep(self._randomness.expovariate(route.per_second * burst))
             reachable = [ingress for ingress in ingresses if not ingress.server.is_gone()]
+            if not reachable:
+                self._count_outcome(route, self._clock.now(), Lost(ResultCode.ANSWER_LOST))
+                continue
             ingress = reachable[self._randomness.randrange(len(reachable))]
             callers.create_task(self._run_caller(ingress, route))
 
--- a/tests/console/test_experiment.py
+++ b/tests/console/test_experiment.py
@@ -25,6 +25,17 @@
     assert run(["experiment", "--seeds", "1", str(short)]) == 0
 
 
+def test_requests_while_every_server_is_gone_count_as_failed(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "gone.toml"
+    text = (ROOT / "benchmark/patterns/quiet.toml").read_text().replace("12.0", "1.0")
+    path.write_text(text + '\n[[troubles]]\nkind = "gone"\nat = 0.5\nlasts = 5.0\n')
+    assert run(["experiment", "--seeds", "1", str(path)]) == 0
+    header, row = (line.split("\t") for line in capsys.readouterr().out.splitlines())
+    assert float(dict(zip(header, row, strict=True))["failed"]) > 0.3
+
+
 @pytest.mark.parametrize(
     ("old", "new", "expected_text"),
     [
