--- a/tests/node/loopback_listener.py
+++ b/tests/node/loopback_listener.py
@@ -17,8 +17,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.address = ("", 0)
 
-    async def start(self) -> None:
-        self._server = await asyncio.start_server(self._serve, HOST, 0)
+    async def start(self, port: int = 0) -> None:
+        self._server = await asyncio.start_server(self._serve, HOST, port)
         self.address = self._server.sockets[0].getsockname()
 
     def close(self) -> None:
--- a/tests/process/test_processes.py
+++ b/tests/process/test_processes.py
@@ -20,6 +20,7 @@
 from standin.cluster import stop
 from standin.cluster import wait_until
 from standin.deployment import Deployment
+from tests.node.foreign_server import ForeignServer
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -179,6 +180,31 @@
     await wait_until(serves_again)
 
 
+async def test_other_server_on_the_port_of_a_killed_node_gets_no_request(caller: Caller) -> None:
+    """It was a key's holder and the target of hops, and the other nodes still know its address."""
+    ingress = caller.cluster.of(INGRESS_SERVICE)[0]
+    killed = caller.cluster.of(SERVICE)[0]
+    key = await caller.key(killed)
+    await asyncio.gather(*(caller.send(ingress, f"w{number}", work_ms=20) for number in range(8)))
+    assert killed.node_process is not None
+    killed.node_process.kill()
+    await killed.node_process.wait()
+    foreign = ForeignServer()
+    await foreign.start(killed.peers)
+    try:
+        for number in range(20):
+            result, _ = await caller.send(ingress, f"r{number}")
+            assert result != "0" or await caller.runs(f"r{number}") > 0
+        for _ in range(3):
+            assert (await caller.send(ingress, "once", key=key))[1] == "unknown"
+    finally:
+        foreign.close()
+        killed.node_process = None
+    # Gossip goes to the addresses of all members, whoever listens there.
+    assert [line for line in foreign.requests() if b"/hoisthook/v1/" not in line] == []
+    assert await caller.runs("once") == 0
+
+
 async def test_rolling_replacement_of_all_nodes_cuts_nothing(caller: Caller) -> None:
     instances = caller.cluster.instances
     done = asyncio.Event()
