--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -19,10 +19,12 @@
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from hoisthook.adapter.http.client_connection import ClientConnection
     from hoisthook.adapter.http.message import AnswerHead
+    from hoisthook.adapter.http.message import Header
     from hoisthook.adapter.http.node_connections import Identification
     from hoisthook.mesh.routed_call import RoutedCall
 
@@ -52,8 +54,9 @@
         Idle connection to the other node; closed unless a complete answer is received.
     call : RoutedCall
         Request to execute.
-    hop : Header
-        Header with the data that the other node needs besides the request itself.
+    hop : callable
+        Returns the header with the data that the other node needs besides the request itself, as it
+        is at the time of sending.
     held_back : bool
         Whether the body and its end are sent only when the other node asks for them.
     identification : Identification, optional
@@ -64,7 +67,7 @@
         self,
         connection: ClientConnection,
         call: RoutedCall,
-        hop: tuple[bytes, bytes],
+        hop: Callable[[], Header],
         *,
         held_back: bool,
         identification: Identification | None = None,
@@ -189,7 +192,7 @@
 
     def _first_bytes(self) -> bytes:
         call = self._call
-        headers = [*call.headers, self._hop, (b"expect", b"100-continue")]
+        headers = [*call.headers, self._hop(), (b"expect", b"100-continue")]
         if self._held_back:
             headers.append((b"transfer-encoding", b"chunked"))
             return encode_request_head(call.method, call.target, headers)
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -188,10 +189,18 @@
             idle_observation=call.idle_observation,
             by_repeat=call.by_repeat,
         )
+
+        def current_header() -> Header:
+            sent_at = self._clock.now()
+            current = dataclasses.replace(
+                header, time_left=call.time_left(sent_at), target_left=call.target_left(sent_at)
+            )
+            return hop_header.HOP, current.encode()
+
         exchange = AdmittedExchange(
             connection,
             call,
-            (hop_header.HOP, header.encode()),
+            current_header,
             held_back=call.held_back or view.may_be_unresponsive(now),
             identification=identification,
         )
--- a/tests/mesh/test_silent_node.py
+++ b/tests/mesh/test_silent_node.py
@@ -138,10 +138,15 @@
     system: MeshSystem, method: bytes
 ) -> None:
     server, stall, call_task = await call_stalled_node(system, method, from_identity=True)
+    asked_at = asyncio.get_running_loop().time()
     await until(lambda: is_silence_logged(system))
+    waited_ms = (asyncio.get_running_loop().time() - asked_at) * 1000.0
     stall.over.set()
     assert (await call_task)[0] == 200
     assert len(server.backend.runs) == 1
+    # The backend server is told what is left of the deadline after the wait.
+    (arrival,) = server.backend.arrivals
+    assert int(arrival.headers[b"x-deadline-ms"]) <= DEADLINE_MS - waited_ms + 1.0
 
 
 async def test_node_that_has_not_stated_its_identity_runs_nothing_after_another_has(
