A complete view of the evacuations goes before a provisional one

After the store came back from an older copy, a data centre whose evacuation was ended stayed evacuated until the next record in the operators' log: no requests for it meanwhile.

Cause: what is read in the 5 s after the store's return is provisional (known evacuations that are not listed stay), but had the same revision as the complete listing at the same place that is read afterwards, which was then refused as not newer.

Trace of a failed run: each reader offers [] at era 2, offset 3 and is refused over ['two'] of the same place, every 0.3 s.

Ruled out: that the end of the evacuation is not read; a peer's older view.

Change: a provisional view ranks just below the complete one of its place, and stays provisional until a listing after the 5 s. Not chosen: the store's view wins at an equal place (does not reach nodes that only ask peers); no provisional views for peers (a new evacuation would wait).

--- a/src/hoisthook/membership/store_era.py
+++ b/src/hoisthook/membership/store_era.py
@@ -22,6 +22,15 @@
     return era * OFFSETS_PER_ERA + offset
 
 
+def provisional_revision_at(era: int, offset: int) -> int:
+    """Return a revision just below that of a view which is known to be complete.
+
+    A view read while lost records may not have been rewritten yet keeps what the store no longer
+    lists. It must not hold against the complete view that is read later at the same position.
+    """
+    return revision_at(era, offset) - 1
+
+
 class StoreEra:
     """The latest era of the store that this node has learned of, from the store or from peers.
 
--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.exceptions import StoreUnavailableError
+from hoisthook.membership.store_era import provisional_revision_at
 from hoisthook.membership.store_era import revision_at
 from hoisthook.result_code import ResultCode
 from hoisthook.traffic.configuration_holder import ConfigurationSource
@@ -123,7 +124,6 @@
         self._evacuations = evacuations
         # Evacuations as of `_offset` of the log, as read by this node itself.
         self._evacuation_reading = EvacuationTracker(evacuation_prefix)
-        self._is_reread_due = False
         self._era = era
         self._lease = lease
         era.on_change(self._store_regressed)
@@ -238,15 +238,15 @@
 
     async def _read_once(self) -> bool:
         """Read or wait once; return whether there were records."""
-        if self._is_reread_due and not self._evacuation_reading.is_provisional(self._clock.now()):
-            self._is_reread_due = False
+        reading = self._evacuation_reading
+        if reading.needs_listing and not reading.is_provisional(self._clock.now()):
             self._offset = None
         offset = self._offset
         started_at = self._clock.now()
         if offset is None:
             page = await self._store.newest(self._topic)
             self._check_era(page)
-            self._evacuation_reading.apply_listing(page.records, self._clock.now())
+            reading.apply_listing(page.records, self._clock.now())
         else:
             later_page = await self._store.changes(self._topic, offset, self._wait_seconds())
             if later_page is None:
@@ -260,7 +260,7 @@
             if self._offset is None:
                 # The era has changed, so the requested offset belongs to another history.
                 return False
-            self._evacuation_reading.apply_changes(page.records)
+            reading.apply_changes(page.records)
         self._offset = page.end
         has_records = self._apply(page)
         if self._lease.is_limited and not self._has_unreadable_configuration(page):
@@ -284,14 +284,13 @@
     def _store_regressed(self) -> None:
         """Read the newest records now, and again once lost records have been rewritten."""
         self._evacuation_reading.store_regressed(self._clock.now())
-        self._is_reread_due = True
         self._offset = None
 
     def _wait_seconds(self) -> float:
         if self._sync.store_away:
             # Only checks whether the store is available again.
             return 0.0
-        if self._is_reread_due:
+        if self._evacuation_reading.needs_listing:
             return MIN_WAIT_SECONDS
         spread = MAX_WAIT_SECONDS - MIN_WAIT_SECONDS
         wait = MIN_WAIT_SECONDS + self._randomness.random() * spread
@@ -299,9 +298,10 @@
 
     def _apply(self, page: RecordPage) -> bool:
         # Evacuations first, so that no other node gets the configuration from here without them.
-        revision = revision_at(page.era or 0, page.end)
-        wanted = self._evacuation_reading.data_centres
-        self._evacuations.offer(revision, wanted, ConfigurationSource.STORE)
+        reading = self._evacuation_reading
+        rank = provisional_revision_at if reading.needs_listing else revision_at
+        revision = rank(page.era or 0, page.end)
+        self._evacuations.offer(revision, reading.data_centres, ConfigurationSource.STORE)
         published = [r.value for r in page.records if r.key == self._key and r.value]
         read = [configuration for raw in published if (configuration := self._decode(raw))]
         if read:
--- a/src/hoisthook/traffic/evacuation_tracker.py
+++ b/src/hoisthook/traffic/evacuation_tracker.py
@@ -29,6 +29,14 @@
     prefix : str
         Prefix of the keys that request an evacuation, followed by the data centre; empty if
         there are no evacuations.
+
+    Attributes
+    ----------
+    data_centres : set of DataCentre
+        The evacuated data centres.
+    needs_listing : bool
+        Whether ``data_centres`` rests on a listing made during the grace period, or on none since
+        the store regressed. A listing after the grace period settles it.
     """
 
     def __init__(self, prefix: str) -> None:
@@ -36,10 +44,12 @@
         self._offset_by_data_centre: dict[DataCentre, int] = {}
         self._provisional_until = -math.inf
         self.data_centres: set[DataCentre] = set()
+        self.needs_listing = False
 
     def store_regressed(self, now: float) -> None:
         """Treat listings as provisional for `REWRITE_GRACE_SECONDS`."""
         self._provisional_until = now + REWRITE_GRACE_SECONDS
+        self.needs_listing = True
 
     def is_provisional(self, now: float) -> bool:
         """Return whether a listing may lack the operators' latest requests."""
@@ -55,6 +65,7 @@
             self.data_centres = evacuated
         else:
             self.data_centres = set(listed)
+            self.needs_listing = False
         self._offset_by_data_centre.update((d, r.offset) for d, r in listed.items())
 
     def apply_changes(self, records: Iterable[KeyedRecord]) -> None:
--- a/tests/mesh/test_store_era.py
+++ b/tests/mesh/test_store_era.py
@@ -26,6 +26,7 @@
 
 ONE = DataCentre("one")
 TWO = DataCentre("two")
+THREE = DataCentre("three")
 REWRITE_GRACE_SECONDS = 0.8
 
 
@@ -74,6 +75,31 @@
     assert len(evacuation_changes(system)) == changes
 
 
+async def test_listing_holds_after_the_grace_period_at_the_same_position(
+    system: MeshSystem,
+) -> None:
+    """Guards against a kept evacuation that no record ends while operators write nothing."""
+    await start_system(system)
+    system.store.copy()
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+    system.store.regress()
+    await until_era(system, 2)
+    await until_evacuated(system)
+
+
+async def test_listing_holds_after_the_grace_period_also_with_a_new_evacuation(
+    system: MeshSystem,
+) -> None:
+    await start_system(system)
+    system.store.copy()
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+    system.store.regress()
+    system.evacuate("three")
+    await until_evacuated(system, THREE)
+
+
 async def test_a_restoration_is_not_undone(system: MeshSystem) -> None:
     await start_system(system)
     system.evacuate("two")
--- a/tests/traffic/test_evacuation_tracker.py
+++ b/tests/traffic/test_evacuation_tracker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from hoisthook.membership.store_era import StoreEra
+from hoisthook.membership.store_era import provisional_revision_at
 from hoisthook.membership.store_era import revision_at
 from hoisthook.port.record_store import KeyedRecord
 from hoisthook.traffic.evacuation_tracker import REWRITE_GRACE_SECONDS
@@ -66,6 +67,29 @@
     assert tracker.data_centres == set()
 
 
+def test_only_a_listing_after_the_grace_period_settles_the_view() -> None:
+    tracker = EvacuationTracker("evacuate/")
+    tracker.apply_listing([record("one", 3)], 0.0)
+    assert not tracker.needs_listing
+    tracker.store_regressed(10.0)
+    tracker.apply_listing([record("one", 3)], 10.1)
+    tracker.apply_changes([record("one", 4, b"")])
+    assert tracker.needs_listing
+    tracker.apply_listing([], 10.0 + REWRITE_GRACE_SECONDS)
+    assert not tracker.needs_listing
+
+
+def test_complete_view_goes_before_a_provisional_one_of_the_same_position() -> None:
+    in_order = [
+        revision_at(1, 10**12),
+        provisional_revision_at(2, 0),
+        revision_at(2, 0),
+        provisional_revision_at(2, 2),
+        revision_at(2, 2),
+    ]
+    assert in_order == sorted(set(in_order))
+
+
 def test_a_later_history_goes_before_any_offset_of_an_earlier_one() -> None:
     assert revision_at(2, 0) > revision_at(1, 10**12) > revision_at(1, 5) > -1
 
