Nodes that remember nothing keep an evacuation that the store has lost

A reader of the store that starts, or a node that replaces a reader, within 5 s of the store's return from an older copy spread a listing that lacks the lost evacuation; running nodes took the evacuation back until operators had written it again.

Cause: within the 5 s a listing keeps what the node has read itself, and such a node has read nothing.

Change: a listing within the 5 s keeps what is in force at the node, from whomever it was learned; a reader that starts asks other readers before its first read, for 0.1 s at most, and replies say how much of the 5 s is left.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -52,6 +52,10 @@
 MAX_UNANSWERED_POLLS = 3
 # Range of the random first turn, so that nodes start with different readers.
 FIRST_TURN_RANGE = 1000
+# A reader that starts asks other readers, those of its data centre if there are any, for at most
+# MAX_ASKING_SECONDS before its first read.
+OTHER_READERS_TO_ASK = 3
+MAX_ASKING_SECONDS = 0.1
 FIRST_BACKOFF_SECONDS = 0.15
 MAX_BACKOFF_SECONDS = 1.0
 
@@ -169,6 +173,7 @@
         while self._holder.current is None:
             readers = self._readers.poll_targets()
             if not readers:
+                await self._ask_other_readers()
                 return
             why = await self._poll_all(readers)
             if self._holder.current is None and why is not None:
@@ -178,6 +183,18 @@
                 await self._pause(seconds)
                 seconds = min(MAX_FIRST_POLL_INTERVAL_SECONDS, 2 * seconds)
 
+    async def _ask_other_readers(self) -> None:
+        """Get the evacuations in force from other nodes, before the first reading of the store.
+
+        The store may just have regressed. This node, which remembers nothing, would take its
+        listing for complete, and the nodes that poll it would take evacuations back.
+        """
+        others = self._readers.other_local_readers()
+        others = others or self._readers.readers_of_all_data_centres()[:OTHER_READERS_TO_ASK]
+        if others:
+            asking = asyncio.get_running_loop().create_task(self._poll_all(others))
+            await asyncio.wait((asking,), timeout=MAX_ASKING_SECONDS)
+
     async def _poll_all(self, readers: list[PeerView]) -> str | None:
         """Poll all readers at once; return why the store must be read, or None if one answered.
 
@@ -220,6 +237,8 @@
         # A delta that cannot be applied would be sent again with the reply to each poll, without
         # any hold.
         self._is_unreadable = delta is not None and delta.version > self._holder.version
+        if reply.grace > 0 and not self._evacuation_reading.has_begun:
+            self._begin_grace(reply.grace)
         if reply.store_away:
             self._readers.note_store_rejection(reader)
         else:
@@ -246,6 +265,7 @@
         if offset is None:
             page = await self._store.newest(self._topic)
             self._check_era(page)
+            reading.resume_from(self._evacuations.data_centres)
             reading.apply_listing(page.records, self._clock.now())
         else:
             later_page = await self._store.changes(self._topic, offset, self._wait_seconds())
@@ -283,9 +303,13 @@
 
     def _store_regressed(self) -> None:
         """Read the newest records now, and again once lost records have been rewritten."""
-        self._evacuation_reading.store_regressed(self._clock.now())
+        self._begin_grace()
         self._offset = None
 
+    def _begin_grace(self, seconds: float | None = None) -> None:
+        self._evacuation_reading.store_regressed(self._clock.now(), seconds)
+        self._sync.grace_until = self._evacuation_reading.provisional_until
+
     def _wait_seconds(self) -> float:
         if self._sync.store_away:
             # Only checks whether the store is available again.
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -98,6 +99,9 @@
     ----------
     store_away : bool
         Whether the store does not answer this node; set by `ConfigurationWatch`.
+    grace_until : float
+        End of the time for which this node keeps evacuations that a regressed store may have lost;
+        set by `ConfigurationWatch`.
     peer_port : int
         Port at which nodes reach each other, the same on all instances.
     """
@@ -149,6 +153,7 @@
         evacuations.on_change(self._wake)
         self._contact_listeners: list[Callable[[Address], None]] = []
         self.store_away = False
+        self.grace_until = -math.inf
         self.peer_port = 0
 
     def on_contact(self, listener: Callable[[Address], None]) -> None:
@@ -329,7 +334,8 @@
         self._responder.apply_request(request)
         if request.hold > 0 and not self._responder.has_changes_for(request):
             await self._wait_for_change(min(request.hold, MAX_HOLD_SECONDS))
-        reply = self._responder.reply_to(request, store_away=self.store_away)
+        grace = max(0.0, self.grace_until - self._clock.now())
+        reply = self._responder.reply_to(request, store_away=self.store_away, grace=grace)
         exchange.respond(200, [], encode_message(reply))
 
     async def _wait_for_change(self, seconds: float) -> None:
--- a/src/hoisthook/mesh/sync_messages.py
+++ b/src/hoisthook/mesh/sync_messages.py
@@ -151,6 +151,8 @@
         lease or it was never confirmed.
     era : int or None
         Newest era of the store that it knows of.
+    grace : float
+        Seconds for which it still keeps evacuations that a regressed store may have lost.
     """
 
     peers: list[Peer] = []
@@ -167,3 +169,4 @@
     crashes: list[CrashReport] = []
     confirmed: float | None = None
     era: int | None = None
+    grace: float = 0.0
--- a/src/hoisthook/mesh/sync_responder.py
+++ b/src/hoisthook/mesh/sync_responder.py
@@ -95,7 +95,7 @@
             or self._evacuations.revision > request.evacuations
         )
 
-    def reply_to(self, request: SyncRequest, *, store_away: bool) -> SyncReply:
+    def reply_to(self, request: SyncRequest, *, store_away: bool, grace: float = 0.0) -> SyncReply:
         """Return the reply, with all changes that the requester has not received."""
         suspected, cleared = self._suspicions_for(request)
         return SyncReply(
@@ -111,6 +111,7 @@
             *self._crashes_for(request),
             confirmed=self._lease.age(self._clock.now()),
             era=self._era.current,
+            grace=grace,
         )
 
     def _evacuations_for(self, request: SyncRequest) -> tuple[int, list[DataCentre]]:
--- a/src/hoisthook/traffic/evacuation_tracker.py
+++ b/src/hoisthook/traffic/evacuation_tracker.py
@@ -34,6 +34,8 @@
     ----------
     data_centres : set of DataCentre
         The evacuated data centres.
+    provisional_until : float
+        End of the grace period, in seconds of the clock that gives ``now``.
     needs_listing : bool
         Whether ``data_centres`` rests on a listing made during the grace period, or on none since
         the store regressed. A listing after the grace period settles it.
@@ -42,18 +44,39 @@
     def __init__(self, prefix: str) -> None:
         self._prefix = prefix
         self._offset_by_data_centre: dict[DataCentre, int] = {}
-        self._provisional_until = -math.inf
+        self.provisional_until = -math.inf
         self.data_centres: set[DataCentre] = set()
         self.needs_listing = False
-
-    def store_regressed(self, now: float) -> None:
-        """Treat listings as provisional for `REWRITE_GRACE_SECONDS`."""
-        self._provisional_until = now + REWRITE_GRACE_SECONDS
+        self._has_listing = False
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a listing has been applied or the store has regressed."""
+        return self._has_listing or self.needs_listing
+
+    def store_regressed(self, now: float, seconds: float | None = None) -> None:
+        """Treat listings as provisional.
+
+        Parameters
+        ----------
+        now : float
+            Present time, in seconds.
+        seconds : float, optional
+            What is left of the grace period; `REWRITE_GRACE_SECONDS` by default.
+        """
+        self.provisional_until = now + (REWRITE_GRACE_SECONDS if seconds is None else seconds)
         self.needs_listing = True
 
     def is_provisional(self, now: float) -> bool:
         """Return whether a listing may lack the operators' latest requests."""
-        return now < self._provisional_until
+        return now < self.provisional_until
+
+    def resume_from(self, data_centres: Iterable[DataCentre]) -> None:
+        """Take what is in force at this node as what a provisional listing keeps.
+
+        Peers may have told of evacuations that this node has never read, or read before they ended.
+        """
+        self.data_centres = set(data_centres)
 
     def apply_listing(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Apply a listing, the newest record of each key that has not been removed."""
@@ -67,6 +90,7 @@
             self.data_centres = set(listed)
             self.needs_listing = False
         self._offset_by_data_centre.update((d, r.offset) for d, r in listed.items())
+        self._has_listing = True
 
     def apply_changes(self, records: Iterable[KeyedRecord]) -> None:
         """Apply records in the order in which they were written."""
--- a/tests/mesh/test_store_era.py
+++ b/tests/mesh/test_store_era.py
@@ -28,6 +28,7 @@
 TWO = DataCentre("two")
 THREE = DataCentre("three")
 REWRITE_GRACE_SECONDS = 0.8
+LONG_GRACE_SECONDS = 4.0
 
 
 @pytest.fixture(autouse=True)
@@ -101,9 +102,10 @@
 
 
 async def test_node_that_starts_in_the_grace_period_takes_no_evacuation_back(
-    system: MeshSystem,
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against the listing of a node that cannot know what the store has lost."""
+    monkeypatch.setattr(evacuation_tracker, "REWRITE_GRACE_SECONDS", LONG_GRACE_SECONDS)
     await start_system(system)
     system.store.copy()
     system.evacuate("two")
@@ -113,11 +115,42 @@
     changes = len(evacuation_changes(system))
     started = await system.add("shop")
     await until(lambda: started.node.evacuations.revision >= 0)
-    await asyncio.sleep(REWRITE_GRACE_SECONDS / 2)
+    assert not started.node._watch._readers.poll_targets()
+    # Each node polls it meanwhile.
+    await asyncio.sleep(LONG_GRACE_SECONDS / 2)
+    assert evacuation_changes(system)[changes:] == [["two"]]
     system.evacuate("two")
-    await asyncio.sleep(2 * REWRITE_GRACE_SECONDS)
+    await asyncio.sleep(LONG_GRACE_SECONDS)
+    await until_evacuated(system, TWO)
+    assert evacuation_changes(system)[changes:] == [["two"]]
+
+
+async def test_node_that_replaces_a_reader_in_the_grace_period_takes_no_evacuation_back(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the listing of a node that knows evacuations from its peers only."""
+    monkeypatch.setattr(evacuation_tracker, "REWRITE_GRACE_SECONDS", LONG_GRACE_SECONDS)
+    await start_system(system)
+    system.store.copy()
+    system.evacuate("two")
+    await until_evacuated(system, TWO)
+    readers = [m for m in system.machines if not m.node._watch._readers.poll_targets()]
+    system.store.regress()
+    await until_era(system, 2)
+    changes = len(evacuation_changes(system))
+    for machine in readers:
+        machine.crash()
+        system.machines.remove(machine)
+    calls = len(system.store.calls)
+    await until(lambda: "log-newest" in system.store.calls[calls:])
+    # A record of another kind gives the view a newer position.
+    system.publish(2, RouteOptions("shop"))
+    await system.until_configured(2)
+    await asyncio.sleep(LONG_GRACE_SECONDS / 4)
+    assert evacuation_changes(system)[changes:] == []
+    system.evacuate("two")
+    await asyncio.sleep(LONG_GRACE_SECONDS)
     await until_evacuated(system, TWO)
-    # The started node alone may see it once more, when it is written again.
     assert [] not in evacuation_changes(system)[changes:]
 
 
--- a/tests/traffic/test_evacuation_tracker.py
+++ b/tests/traffic/test_evacuation_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hoisthook.identity import DataCentre
 from hoisthook.membership.store_era import StoreEra
 from hoisthook.membership.store_era import provisional_revision_at
 from hoisthook.membership.store_era import revision_at
@@ -67,6 +68,26 @@
     assert tracker.data_centres == set()
 
 
+def test_provisional_listing_keeps_what_peers_have_told() -> None:
+    tracker = EvacuationTracker("evacuate/")
+    tracker.store_regressed(10.0)
+    tracker.resume_from({DataCentre("one")})
+    tracker.apply_listing([], 10.1)
+    assert tracker.data_centres == {"one"}
+    tracker.resume_from({DataCentre("one")})
+    tracker.apply_listing([], 10.0 + REWRITE_GRACE_SECONDS)
+    assert tracker.data_centres == set()
+
+
+def test_grace_period_that_a_peer_tells_of_ends_with_the_peers() -> None:
+    tracker = EvacuationTracker("evacuate/")
+    assert not tracker.has_begun
+    tracker.store_regressed(10.0, 2.0)
+    assert tracker.has_begun
+    assert tracker.is_provisional(11.9)
+    assert not tracker.is_provisional(12.0)
+
+
 def test_only_a_listing_after_the_grace_period_settles_the_view() -> None:
     tracker = EvacuationTracker("evacuate/")
     tracker.apply_listing([record("one", 3)], 0.0)
