A stall of the loop does not use up the time of store calls and polls

The platform's store was called again although it had answered.

Cause: the 0.5 s for the head of an answer ran on while this node's own event loop stood still, and were over before the answer that lay in the socket was read.

Change: exchanges with a limit for each piece, which are store calls and polls, use the limit that connections already have. Unchanged: quota questions and health checks.

--- a/src/hoisthook/mesh/buffered_exchange.py
+++ b/src/hoisthook/mesh/buffered_exchange.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import encode_request_head
+from hoisthook.adapter.http.stall_tolerant_timeout import stall_tolerant_timeout
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.node.call import Lost
 from hoisthook.result_code import ResultCode
@@ -50,7 +51,7 @@
         Complete body.
     timeout : float
         Seconds until the complete answer must have arrived; with ``piece_timeout``, until its
-        head must have arrived.
+        head must have arrived, not counting a stall of the event loop.
     piece_timeout : float, optional
         Seconds for each piece of the body. A large answer on a slow link may then take as long as
         it keeps arriving, rather than being requested again while it is in transit.
@@ -61,12 +62,15 @@
     if body or method not in BODYLESS_METHODS:
         framed.append((b"content-length", b"%d" % len(body)))
     data = encode_request_head(method, target, framed) + body
+    bodyless = method == b"HEAD"
     try:
-        async with asyncio.timeout(timeout) as time_limit:
-            head = await connection.send(data, bodyless_answer=method == b"HEAD", accepts=accepts)
-            if piece_timeout is not None:
-                time_limit.reschedule(None)
-            return head, await read_buffered(connection, piece_timeout)
+        if piece_timeout is None:
+            async with asyncio.timeout(timeout):
+                head = await connection.send(data, bodyless_answer=bodyless, accepts=accepts)
+                return head, await read_buffered(connection)
+        async with stall_tolerant_timeout(timeout):
+            head = await connection.send(data, bodyless_answer=bodyless, accepts=accepts)
+        return head, await read_buffered(connection, piece_timeout)
     except TimeoutError:
         connection.close()
         return Lost(ResultCode.DEADLINE_DURING_RUN)
