The check of a holder's answer has a test of its own again

What showed: the mutation entry "a foreign answer is not the holder's" took the check out without any test failing. Since nodes state their identity the server of the test gets no request, so that its answer is no longer looked at.

The new test has the server state the holder's identity and answer without a result; the entry fails it. The former test stays. Of the 25 entries with tests in tests/node the other 24 fail a test as they should.

--- a/tests/node/test_bad_peers.py
+++ b/tests/node/test_bad_peers.py
@@ -119,6 +119,20 @@
     assert b"foreign" not in got.body
 
 
+async def test_answer_without_a_result_at_the_holders_address_is_not_forwarded(
+    system: System, foreign_server: ForeignServer
+) -> None:
+    """Every node adds a result to its answers to repeats."""
+    key = await system.issue_key("a")
+    foreign_server.stated_identity = system.node_by_name["a"].incarnation
+    await system.relay_by_name["holder"].restart(upstream=foreign_server.address)
+    address = system.node_by_name["c"].callers_address
+    got = await system.call(address, "r", method=b"POST", key=key, body=b"5")
+    assert len(foreign_server.requests()) == 1
+    assert (got.code, got.ran) == (3008, "unknown")
+    assert b"foreign" not in got.body
+
+
 async def test_node_that_replaced_the_holder_at_its_address_gets_no_request(
     system: System,
 ) -> None:
