The platform path's check for a load report has a test and an entry of its own

Since nodes state their identity no test reached the check that an answer bears a node's load: a server without an identity gets no request. The test has the server state the identity; without the check its answer reaches the caller, and the entry shows it.

--- a/tests/mesh/test_foreign_server.py
+++ b/tests/mesh/test_foreign_server.py
@@ -92,6 +92,20 @@
     assert foreign_server.requests() == []
 
 
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+async def test_answer_without_a_load_report_is_not_forwarded(
+    system: MeshSystem, foreign_server: ForeignServer, method: bytes
+) -> None:
+    """Every node adds its load to its answers."""
+    foreign_server.stated_identity = GONE
+    ingress = await ingress_that_knows(system, foreign_server.address)
+    _, _, body = await system.call(ingress, method=method, body=b"5" * (method == b"POST"))
+    assert len(foreign_server.requests()) == 1
+    assert b"foreign" not in body
+    (dropped,) = [line for line in system.log.named("peer_dropped") if line["peer"] == GONE]
+    assert dropped["reason"] == "not a node"
+
+
 @pytest.mark.parametrize("method", [b"GET", b"POST"])
 async def test_older_node_that_states_no_identity_is_served(
     system: MeshSystem, monkeypatch: pytest.MonkeyPatch, method: bytes
