--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -347,6 +347,7 @@
     assert (await system.call(ingress))[0] == 200
     assert (await first)[0] == 200
     assert not system.log.named("hop_lost")
+    assert not system.log.named("hop_unheard")
     assert len(server.backend.arrivals) == 2
 
 
