Requests are logged with the age of the node's configuration

Cause: nothing in the log told how old a node's knowledge of the operators' configuration was, so that a late change looked the same whether the reader's poll was dead, the readers were frozen or a delta did not fit.

ConfigurationAge is moved forward by each answer of the store without changes and by each reply of a peer, which bears the peer's own age and the time for which it held the request (older nodes ignore both fields and send neither). The line answered bears it as configuration_age. Nothing decides by it yet.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -23,6 +23,7 @@
     from hoisthook.port.record_store import RecordPage
     from hoisthook.port.record_store import RecordStore
     from hoisthook.teams.key_lease import KeyLease
+    from hoisthook.traffic.configuration_age import ConfigurationAge
     from hoisthook.traffic.configuration_exchange import ConfigurationDecoder
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
@@ -87,6 +88,8 @@
         Receives the store's era, and reports when the store has regressed to an older state.
     lease : KeyLease
         Renewed whenever the configuration is known to be the newest.
+    age : ConfigurationAge
+        Renewed by each answer of the store.
     sync : PeerSync
         Polls peers; its ``store_away`` is kept up to date.
     readers : StoreReaders
@@ -113,6 +116,7 @@
         evacuation_prefix: str,
         era: StoreEra,
         lease: KeyLease,
+        age: ConfigurationAge,
         sync: PeerSync,
         readers: StoreReaders,
         peers_known: asyncio.Event,
@@ -130,6 +134,7 @@
         self._evacuation_reading = EvacuationTracker(evacuation_prefix)
         self._era = era
         self._lease = lease
+        self._age = age
         era.on_change(self._store_regressed)
         self._sync = sync
         self._readers = readers
@@ -262,13 +267,15 @@
             self._offset = None
         offset = self._offset
         started_at = self._clock.now()
+        known_as_of = started_at
         if offset is None:
             page = await self._store.newest(self._topic)
             self._check_era(page)
             reading.resume_from(self._evacuations.data_centres)
             reading.apply_listing(page.records, self._clock.now())
         else:
-            later_page = await self._store.changes(self._topic, offset, self._wait_seconds())
+            wait = self._wait_seconds()
+            later_page = await self._store.changes(self._topic, offset, wait)
             if later_page is None:
                 # The records since the offset are no longer retained, or the store has regressed
                 # to a copy that ends before it.
@@ -281,8 +288,12 @@
                 # The era has changed, so the requested offset belongs to another history.
                 return False
             reading.apply_changes(page.records)
+            if not page.records:
+                # The store has waited all the time for a first record.
+                known_as_of += wait
         self._offset = page.end
         has_records = self._apply(page)
+        self._age.confirmed(known_as_of)
         if self._lease.is_limited and not self._has_unreadable_configuration(page):
             self._lease.confirmed(started_at)
         return has_records
--- a/src/hoisthook/mesh/ingress.py
+++ b/src/hoisthook/mesh/ingress.py
@@ -32,6 +32,7 @@
     from hoisthook.teams.key_lease import KeyLease
     from hoisthook.teams.quota_verdict import Token
     from hoisthook.teams.team import Team
+    from hoisthook.traffic.configuration_age import ConfigurationAge
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.route import Route
     from hoisthook.traffic.traffic_configuration import TrafficConfiguration
@@ -98,6 +99,8 @@
         Finds a backend server that runs a request.
     running_requests : RunningRequests
         Requests that run at the local backend server; the calls that they make arrive here.
+    age : ConfigurationAge
+        Age of the configuration, logged with each request.
     lease : KeyLease
         Decides whether team keys may still be accepted.
     quotas : QuotaGate
@@ -117,6 +120,7 @@
         configuration: ConfigurationHolder,
         dispatcher: RoutedDispatcher,
         running_requests: RunningRequests,
+        age: ConfigurationAge,
         lease: KeyLease,
         quotas: QuotaGate,
         link_pacer: LinkPacer,
@@ -128,6 +132,7 @@
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._running_requests = running_requests
+        self._age = age
         self._lease = lease
         self._quotas = quotas
         self._link_pacer = link_pacer
@@ -315,11 +320,14 @@
         else:
             code = outcome.code
             self._refuse(exchange, outcome)
+        now = self._clock.now()
+        age = self._age.seconds(now)
         self._log.decision(
             "answered",
             request=request.request_id,
             code=code.number,
-            took_ms=round((self._clock.now() - received) * 1000.0, 1),
+            took_ms=round((now - received) * 1000.0, 1),
+            configuration_age=None if age is None else round(age, 2),
             **fields,
         )
 
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -42,6 +42,7 @@
 from hoisthook.retry.arrival_budget import RetrySettings
 from hoisthook.routing.link_pacer import LinkPacer
 from hoisthook.teams.key_lease import KeyLease
+from hoisthook.traffic.configuration_age import ConfigurationAge
 from hoisthook.traffic.configuration_exchange import ConfigurationExchange
 from hoisthook.traffic.configuration_holder import ConfigurationHolder
 from hoisthook.traffic.evacuations import Evacuations
@@ -147,6 +148,7 @@
         )
         self.era = StoreEra(log)
         self.key_lease = KeyLease(settings.keys.revocation_seconds)
+        self._configuration_age = ConfigurationAge()
         self.sync = PeerSync(
             self.directory,
             self.configuration,
@@ -155,6 +157,7 @@
             self.crashes.evidence,
             self.era,
             self.key_lease,
+            self._configuration_age,
             self._peer_pool,
             clock,
             self._randomness,
@@ -188,6 +191,7 @@
             evacuation_prefix=settings.store.evacuation_prefix,
             era=self.era,
             lease=self.key_lease,
+            age=self._configuration_age,
             sync=self.sync,
             readers=readers,
             peers_known=self.directory.peers_known,
@@ -337,6 +341,7 @@
             self.configuration,
             dispatcher,
             self.link.running,
+            self._configuration_age,
             self.key_lease,
             self._quotas,
             self._link_pacer,
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -37,6 +37,7 @@
     from hoisthook.retry.crash_evidence import CrashEvidence
     from hoisthook.retry.crash_evidence import CrashReport
     from hoisthook.teams.key_lease import KeyLease
+    from hoisthook.traffic.configuration_age import ConfigurationAge
     from hoisthook.traffic.configuration_exchange import ConfigurationExchange
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
@@ -86,6 +87,8 @@
         The store's era as known here, sent with each message.
     lease : KeyLease
         Lease on teams' keys, renewed when a peer confirms the configuration.
+    age : ConfigurationAge
+        Age of the configuration known here, renewed by peers' replies.
     pool : ClientPool
         Connections to other nodes.
     clock : Clock
@@ -115,6 +118,7 @@
         crashes: CrashEvidence,
         era: StoreEra,
         lease: KeyLease,
+        age: ConfigurationAge,
         pool: ClientPool,
         clock: Clock,
         randomness: Randomness,
@@ -127,6 +131,7 @@
         self._crashes = crashes
         self._era = era
         self._lease = lease
+        self._age = age
         self._sends_crash_reports = False
         self._pool = pool
         self._randomness = randomness
@@ -143,6 +148,7 @@
             crashes,
             era,
             lease,
+            age,
             clock,
         )
         self._clock = clock
@@ -332,10 +338,16 @@
             self._directory.is_complete = True
             self._directory.full_list_received.set()
         self._responder.apply_request(request)
+        received_at = self._clock.now()
         if request.hold > 0 and not self._responder.has_changes_for(request):
             await self._wait_for_change(min(request.hold, MAX_HOLD_SECONDS))
-        grace = max(0.0, self.grace_until - self._clock.now())
-        reply = self._responder.reply_to(request, store_away=self.store_away, grace=grace)
+        now = self._clock.now()
+        reply = self._responder.reply_to(
+            request,
+            store_away=self.store_away,
+            grace=max(0.0, self.grace_until - now),
+            held=now - received_at,
+        )
         exchange.respond(200, [], encode_message(reply))
 
     async def _wait_for_change(self, seconds: float) -> None:
@@ -373,7 +385,9 @@
             await self._send(address, full_request)
 
     def _confirm(self, reply: SyncReply, sent_at: float) -> None:
-        """Renew the lease on keys if the peer's configuration is in force here."""
+        """Renew the age, and the lease on keys if the peer's configuration is in force here."""
+        if reply.age is not None:
+            self._age.confirmed(sent_at + reply.held - reply.age)
         delta = reply.configuration
         if reply.confirmed is not None and (delta is None or delta.version <= self.version):
             self._lease.confirmed(sent_at - reply.confirmed)
--- a/src/hoisthook/mesh/sync_messages.py
+++ b/src/hoisthook/mesh/sync_messages.py
@@ -153,6 +153,11 @@
         Newest era of the store that it knows of.
     grace : float
         Seconds for which it still keeps evacuations that a regressed store may have lost.
+    age : float or None
+        Seconds, at the time of the reply, since its configuration was known to be the newest
+        published; None from older nodes, which do not report it, and before the first.
+    held : float
+        Seconds for which it held the request before it replied.
     """
 
     peers: list[Peer] = []
@@ -170,3 +175,5 @@
     confirmed: float | None = None
     era: int | None = None
     grace: float = 0.0
+    age: float | None = None
+    held: float = 0.0
--- a/src/hoisthook/mesh/sync_responder.py
+++ b/src/hoisthook/mesh/sync_responder.py
@@ -18,6 +18,7 @@
     from hoisthook.retry.crash_evidence import CrashEvidence
     from hoisthook.retry.crash_evidence import CrashReport
     from hoisthook.teams.key_lease import KeyLease
+    from hoisthook.traffic.configuration_age import ConfigurationAge
     from hoisthook.traffic.configuration_exchange import ConfigurationExchange
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
@@ -44,6 +45,8 @@
         The store's era as known here, sent with each reply.
     lease : KeyLease
         Provides the age of the last confirmation of teams' keys.
+    age : ConfigurationAge
+        Provides the age of the configuration known here.
     clock : Clock
         Monotonic.
     """
@@ -58,6 +61,7 @@
         crashes: CrashEvidence,
         era: StoreEra,
         lease: KeyLease,
+        age: ConfigurationAge,
         clock: Clock,
     ) -> None:
         self._process = process
@@ -68,6 +72,7 @@
         self._crashes = crashes
         self._era = era
         self._lease = lease
+        self._age = age
         self._clock = clock
         self._suspicions = SuspicionTable()
         self._process_by_requester: dict[NodeId, str] = {}
@@ -95,8 +100,11 @@
             or self._evacuations.revision > request.evacuations
         )
 
-    def reply_to(self, request: SyncRequest, *, store_away: bool, grace: float = 0.0) -> SyncReply:
+    def reply_to(
+        self, request: SyncRequest, *, store_away: bool, grace: float = 0.0, held: float = 0.0
+    ) -> SyncReply:
         """Return the reply, with all changes that the requester has not received."""
+        now = self._clock.now()
         suspected, cleared = self._suspicions_for(request)
         return SyncReply(
             self._changed_peers_for(request),
@@ -109,9 +117,11 @@
             cleared,
             *self._evacuations_for(request),
             *self._crashes_for(request),
-            confirmed=self._lease.age(self._clock.now()),
+            confirmed=self._lease.age(now),
             era=self._era.current,
             grace=grace,
+            age=self._age.seconds(now),
+            held=held,
         )
 
     def _evacuations_for(self, request: SyncRequest) -> tuple[int, list[DataCentre]]:
