--- a/standin/mesh_store.py
+++ b/standin/mesh_store.py
@@ -101,7 +101,7 @@
         self.era: int | None = None
         self._copied_by_topic: dict[str, list[bytes]] = {}
         self.on_append: Callable[[str, bytes], bytes] | None = None
-        self._server = CallServer(address, self._serve)
+        self._server = CallServer(address, self.serve)
 
     @property
     def address(self) -> Address:
@@ -143,7 +143,8 @@
         """Return a topic, made on first use."""
         return self.topic_by_name.setdefault(name, Topic())
 
-    async def _serve(self, exchange: ServerExchange) -> None:
+    async def serve(self, exchange: ServerExchange) -> None:
+        """Serve one call."""
         path, _, query = exchange.head.target.decode().partition("?")
         name = path.rpartition("/")[2]
         self.calls.append(name)
