A node that is no candidate never reads the store

What operators saw: during a long outage more nodes of a data centre call the store than the eight candidates of two readers.

Cause: with all candidates but one excluded, the next node in the order is second of those that are left, and a node among the first two polled nobody, as a reader does.

--- a/src/hoisthook/mesh/store_readers.py
+++ b/src/hoisthook/mesh/store_readers.py
@@ -57,7 +57,8 @@
             return readers
         usable = [view for view in order if not self._is_excluded(view.peer.node, now)]
         position = next(position for position, view in enumerate(usable) if view.is_self)
-        return [usable[index] for index in poll_positions(position, self._count)]
+        # With most candidates excluded, a node that is none of them may come first of the others.
+        return [usable[index] for index in poll_positions(position, self._count)] or readers
 
     def other_local_readers(self) -> list[PeerView]:
         """Return the other readers of this data centre; none if this node is not a reader."""
--- a/tests/mesh/test_store_readers.py
+++ b/tests/mesh/test_store_readers.py
@@ -5,8 +5,18 @@
 
 import pytest
 
+from hoisthook.identity import DataCentre
+from hoisthook.identity import NodeId
+from hoisthook.identity import ServiceName
+from hoisthook.membership.poll_tree import polling_order
 from hoisthook.mesh import configuration_watch
+from hoisthook.mesh.peer import Peer
+from hoisthook.mesh.peer_directory import PeerDirectory
+from hoisthook.mesh.store_readers import SPARE_READERS_FACTOR
+from hoisthook.mesh.store_readers import StoreReaders
+from standin.mesh_system import ListLog
 from standin.published_configuration import RouteOptions
+from tests.fakes import FakeClock
 
 if TYPE_CHECKING:
     from standin.mesh_system import Machine
@@ -72,3 +82,20 @@
     far = await system.add("shop", data_centre="two")
     system.merge_all_peers()
     assert far.node._watch._readers.poll_targets() == []
+
+
+def test_node_that_is_no_candidate_never_reads_the_store() -> None:
+    """Guards against further readers each time that a long outage excludes one more candidate."""
+    peers = [
+        Peer(NodeId(f"node-{n}"), f"10.0.0.{n}:1", ServiceName("shop"), DataCentre("one"))
+        for n in range(12)
+    ]
+    order = polling_order(peers)
+    first_other = order[READERS * SPARE_READERS_FACTOR]
+    directory = PeerDirectory(first_other, ListLog())
+    directory.merge(peers, "test")
+    readers = StoreReaders(directory, FakeClock(), READERS)
+    view_by_node = {view.peer.node: view for view in directory.views()}
+    for peer in order[: READERS * SPARE_READERS_FACTOR - 1]:
+        readers.note_store_rejection(view_by_node[peer.node])
+        assert readers.poll_targets()
