A configuration that silence cannot confirm is verified in time

Cause: silence was believed. A poll of the store on a dead connection looks like one without changes for up to 10.8 s; a node that polls a frozen reader waits 1.1 s for each, three times; its own readers' store_away says nothing while they are silent.

Change: what a node knows has an age (ConfigurationAge). A reader verifies it by a short read beside its long poll, and the other nodes learn of that with the held polls; a node whose knowledge has grown old polls all its readers at once on new connections, doubts those that cannot do better, and reads the store itself if none answers.

--- a/src/hoisthook/mesh/configuration_watch.py
+++ b/src/hoisthook/mesh/configuration_watch.py
@@ -8,7 +8,9 @@
 from hoisthook.exceptions import StoreUnavailableError
 from hoisthook.membership.store_era import provisional_revision_at
 from hoisthook.membership.store_era import revision_at
+from hoisthook.mesh.reader_polls import ReaderPolls
 from hoisthook.result_code import ResultCode
+from hoisthook.traffic.configuration_freshness import ConfigurationFreshness
 from hoisthook.traffic.configuration_holder import ConfigurationSource
 from hoisthook.traffic.evacuation_tracker import EvacuationTracker
 
@@ -17,6 +19,7 @@
     from hoisthook.mesh.peer import PeerView
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.mesh.store_readers import StoreReaders
+    from hoisthook.mesh.sync_messages import SyncReply
     from hoisthook.port.clock import Clock
     from hoisthook.port.clock import Randomness
     from hoisthook.port.event_log import EventLog
@@ -28,31 +31,19 @@
     from hoisthook.traffic.configuration_holder import ConfigurationHolder
     from hoisthook.traffic.evacuations import Evacuations
 
-# Range of the long poll of the store, one call while nothing changes. A poll that an outage has
-# left without an answer looks like one without changes. Durations are random, so that some node's
-# poll ends soon after the outage, and its peers receive what it reads.
+# Range of the long poll of the store. A poll on a dead connection looks like one without changes,
+# so the configuration is verified meanwhile, see `hoisthook.traffic.configuration_freshness`.
 MIN_WAIT_SECONDS = 1.0
 MAX_WAIT_SECONDS = 10.0
+# A check that is due sooner than this is made at once.
+MIN_CHECK_PAUSE_SECONDS = 0.001
 # Pause after a change before the next read, so that changes in quick succession cost one call.
 SETTLE_SECONDS = 0.4
-# How long a reader holds the poll of a node that does not read the store. It answers earlier if the
-# configuration or an evacuation changes; other changes are sent with the next reply.
-POLL_HOLD_SECONDS = 0.6
-# Pause between two polls, which limits their rate while changes follow one another.
-MIN_POLL_INTERVAL_SECONDS = 0.02
 # A node without a configuration answers its callers with 503. It polls all its readers at once, and
 # while they have no configuration either, again at an interval that starts at
-# FIRST_POLL_INTERVAL_SECONDS and doubles up to MAX_FIRST_POLL_INTERVAL_SECONDS. It reads the store
-# itself if no reader accepts a connection within FIRST_ANSWER_TIMEOUT_SECONDS, or none of those
-# that accept answers. Polled one after another, unreachable readers delayed the last of 32 nodes by
-# 0.25 s after a restart of all.
+# FIRST_POLL_INTERVAL_SECONDS and doubles up to MAX_FIRST_POLL_INTERVAL_SECONDS.
 FIRST_POLL_INTERVAL_SECONDS = 0.03
-FIRST_ANSWER_TIMEOUT_SECONDS = 0.05
 MAX_FIRST_POLL_INTERVAL_SECONDS = 0.2
-# After this number of unanswered polls in a row, a node reads the store itself.
-MAX_UNANSWERED_POLLS = 3
-# Range of the random first turn, so that nodes start with different readers.
-FIRST_TURN_RANGE = 1000
 # A reader that starts asks other readers, those of its data centre if there are any, for at most
 # MAX_ASKING_SECONDS before its first read.
 OTHER_READERS_TO_ASK = 3
@@ -96,6 +87,8 @@
         Selects the nodes that read the store.
     peers_known : asyncio.Event
         Set once other nodes are known, so that readers can be selected.
+    apply_seconds : float
+        Time after its acknowledgement within which a change must be in force.
     clock : Clock
         Monotonic.
     randomness : Randomness
@@ -120,6 +113,7 @@
         sync: PeerSync,
         readers: StoreReaders,
         peers_known: asyncio.Event,
+        apply_seconds: float,
         clock: Clock,
         randomness: Randomness,
         log: EventLog,
@@ -135,6 +129,20 @@
         self._era = era
         self._lease = lease
         self._age = age
+        self._freshness = ConfigurationFreshness(
+            apply_seconds, age, randomness, longest_unchecked=lease.longest_wait
+        )
+        self._polls = ReaderPolls(
+            sync,
+            readers,
+            holder,
+            self._freshness,
+            lease,
+            self._apply_reply,
+            clock,
+            randomness,
+            log,
+        )
         era.on_change(self._store_regressed)
         self._sync = sync
         self._readers = readers
@@ -144,9 +152,6 @@
         self._log = log
         self._offset: int | None = None
         self._backoff = FIRST_BACKOFF_SECONDS
-        self._unanswered = 0
-        self._is_unreadable = False
-        self._poll_count = randomness.randrange(FIRST_TURN_RANGE)
 
     async def run(self) -> None:
         """Watch the record until cancelled."""
@@ -154,23 +159,14 @@
         await self._fetch_first()
         while True:
             readers = self._readers.poll_targets()
-            if readers and self._unanswered < MAX_UNANSWERED_POLLS:
-                # Poll the readers in turn, so that reports that are sent twice reach two readers.
-                self._poll_count += 1
-                hold = POLL_HOLD_SECONDS * (0.75 + 0.5 * self._randomness.random())
-                hold = min(hold, self._lease.longest_hold)
-                answered = await self._poll(readers[self._poll_count % len(readers)], hold)
-                self._unanswered = 0 if answered else self._unanswered + 1
-                if answered:
-                    await self._pause(
-                        POLL_HOLD_SECONDS if self._is_unreadable else MIN_POLL_INTERVAL_SECONDS
-                    )
-            else:
-                if readers:
-                    # Read the newest record instead of waiting for the next change.
-                    self._offset = None
-                self._unanswered = 0
-                await self._read()
+            if readers and not self._polls.is_exhausted:
+                await self._polls.poll(readers)
+                continue
+            if readers:
+                # Read the newest record instead of waiting for the next change.
+                self._offset = None
+            self._polls.unanswered = 0
+            await self._read()
 
     async def _fetch_first(self) -> None:
         """Poll the readers until there is a configuration, or this node is a reader itself."""
@@ -180,7 +176,7 @@
             if not readers:
                 await self._ask_other_readers()
                 return
-            why = await self._poll_all(readers)
+            why = await self._polls.poll_all(readers)
             if self._holder.current is None and why is not None:
                 self._log.event("configuration_read_at_start", readers=len(readers), why=why)
                 await self._read()
@@ -197,58 +193,20 @@
         others = self._readers.other_local_readers()
         others = others or self._readers.readers_of_all_data_centres()[:OTHER_READERS_TO_ASK]
         if others:
-            asking = asyncio.get_running_loop().create_task(self._poll_all(others))
+            asking = asyncio.get_running_loop().create_task(self._polls.poll_all(others))
             await asyncio.wait((asking,), timeout=MAX_ASKING_SECONDS)
 
-    async def _poll_all(self, readers: list[PeerView]) -> str | None:
-        """Poll all readers at once; return why the store must be read, or None if one answered.
-
-        Load pattern: many nodes start while machines are busy, so that running readers answer
-        late. Each start that did not wait for them would add a read of the store in the second in
-        which its load is highest.
-        """
-        connected = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        polling = {loop.create_task(self._poll(reader, connected=connected)) for reader in readers}
-        while polling:
-            started_at = self._clock.now()
-            timeout_seconds = None if connected.is_set() else FIRST_ANSWER_TIMEOUT_SECONDS
-            finished, polling = await asyncio.wait(
-                polling, timeout=timeout_seconds, return_when=asyncio.FIRST_COMPLETED
-            )
-            if any(task.result() for task in finished):
-                return None
-            # A timeout that includes a stall of this node's own event loop does not count.
-            overrun = self._clock.now() - started_at - FIRST_ANSWER_TIMEOUT_SECONDS
-            if not finished and not connected.is_set() and overrun < FIRST_ANSWER_TIMEOUT_SECONDS:
-                break
-        return "no reader answers" if connected.is_set() else "no reader takes connections"
-
     async def _pause(self, seconds: float) -> None:
         await asyncio.sleep(seconds * (0.75 + 0.5 * self._randomness.random()))
 
-    async def _poll(
-        self, reader: PeerView, hold: float = 0.0, connected: asyncio.Event | None = None
-    ) -> bool:
-        """Poll a reader, or a node that polls one; return whether it answered."""
-        reply = await self._sync.poll(
-            reader.address, wants_news=True, hold=hold, connected=connected
-        )
-        if reply is None:
-            reader.unreachable(self._clock.now())
-            return False
-        reader.connected()
-        delta = reply.configuration
-        # A delta that cannot be applied would be sent again with the reply to each poll, without
-        # any hold.
-        self._is_unreadable = delta is not None and delta.version > self._holder.version
+    def _apply_reply(self, reader: PeerView, reply: SyncReply) -> None:
+        """Apply what a reply says about the store."""
         if reply.grace > 0 and not self._evacuation_reading.has_begun:
             self._begin_grace(reply.grace)
         if reply.store_away:
             self._readers.note_store_rejection(reader)
         else:
             self._store_answered()
-        return True
 
     async def _read(self) -> None:
         try:
@@ -258,7 +216,8 @@
             return
         self._store_answered()
         if had_records:
-            await asyncio.sleep(SETTLE_SECONDS)
+            until_check = max(0.0, self._freshness.check_at - self._clock.now())
+            await asyncio.sleep(min(SETTLE_SECONDS, until_check))
 
     async def _read_once(self) -> bool:
         """Read or wait once; return whether there were records."""
@@ -267,15 +226,13 @@
             self._offset = None
         offset = self._offset
         started_at = self._clock.now()
-        known_as_of = started_at
         if offset is None:
             page = await self._store.newest(self._topic)
             self._check_era(page)
             reading.resume_from(self._evacuations.data_centres)
             reading.apply_listing(page.records, self._clock.now())
         else:
-            wait = self._wait_seconds()
-            later_page = await self._store.changes(self._topic, offset, wait)
+            later_page = await self._await_changes(offset)
             if later_page is None:
                 # The records since the offset are no longer retained, or the store has regressed
                 # to a copy that ends before it.
@@ -288,16 +245,48 @@
                 # The era has changed, so the requested offset belongs to another history.
                 return False
             reading.apply_changes(page.records)
-            if not page.records:
-                # The store has waited all the time for a first record.
-                known_as_of += wait
         self._offset = page.end
         has_records = self._apply(page)
-        self._age.confirmed(known_as_of)
+        self._age.confirmed(started_at)
         if self._lease.is_limited and not self._has_unreadable_configuration(page):
             self._lease.confirmed(started_at)
         return has_records
 
+    async def _await_changes(self, offset: int) -> RecordPage | None:
+        """Wait for records; verify at intervals by short reads that there are none yet."""
+        wait = self._wait_seconds()
+        started_at = self._clock.now()
+        loop = asyncio.get_running_loop()
+        poll = loop.create_task(self._store.changes(self._topic, offset, wait))
+        try:
+            while not poll.done():
+                until_check = self._freshness.check_at - self._clock.now()
+                if until_check > MIN_CHECK_PAUSE_SECONDS:
+                    await asyncio.wait((poll,), timeout=until_check)
+                    continue
+                page = await self._check(offset)
+                if page is None or page.records or self._offset is None:
+                    return page
+            page = poll.result()
+        finally:
+            poll.cancel()
+            await asyncio.gather(poll, return_exceptions=True)
+        if page is not None and not page.records:
+            # The store has waited all the time for a first record.
+            self._age.confirmed(started_at + wait)
+        return page
+
+    async def _check(self, offset: int) -> RecordPage | None:
+        """Read what was written from ``offset`` on, without waiting."""
+        started_at = self._clock.now()
+        page = await self._store.changes(self._topic, offset, 0.0)
+        if page is not None:
+            self._check_era(page)
+            if not page.records:
+                self._age.confirmed(started_at)
+                self._lease.confirmed(started_at)
+        return page
+
     def _has_unreadable_configuration(self, page: RecordPage) -> bool:
         """Return whether the newest configuration of a page cannot be decoded."""
         published = [record for record in page.records if record.key == self._key and record.value]
@@ -328,8 +317,7 @@
         if self._evacuation_reading.needs_listing:
             return MIN_WAIT_SECONDS
         spread = MAX_WAIT_SECONDS - MIN_WAIT_SECONDS
-        wait = MIN_WAIT_SECONDS + self._randomness.random() * spread
-        return min(wait, self._lease.longest_wait)
+        return MIN_WAIT_SECONDS + self._randomness.random() * spread
 
     def _apply(self, page: RecordPage) -> bool:
         # Evacuations first, so that no other node gets the configuration from here without them.
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -195,6 +195,7 @@
             sync=self.sync,
             readers=readers,
             peers_known=self.directory.peers_known,
+            apply_seconds=settings.store.apply_seconds,
             clock=clock,
             randomness=self._randomness,
             log=log,
--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
 
     from hoisthook.adapter.http.client_pool import ClientPool
+    from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
     from hoisthook.membership.store_era import StoreEra
@@ -45,6 +46,7 @@
 SYNC_PATH = b"/hoisthook/peers"
 CONNECT_SECONDS = 0.2
 ANSWER_SECONDS = 0.5
+URGENT_ANSWER_SECONDS = 0.15
 # Pause between two announcements, so that a new node does not open many connections at once.
 ANNOUNCE_GAP_SECONDS = 0.01
 # Readers that did not answer receive the announcement again after this time, by when a start or a
@@ -68,6 +70,27 @@
     suspicions: int = 0
 
 
+class PollProgress:
+    """How far a poll has proceeded.
+
+    Attributes
+    ----------
+    connected : asyncio.Event
+        Set once the peer has accepted the connection.
+    answering : asyncio.Event
+        Set once the peer's answer has begun to arrive.
+    """
+
+    def __init__(self) -> None:
+        self.connected = asyncio.Event()
+        self.answering = asyncio.Event()
+
+    def answer_begins(self, head: AnswerHead) -> bool:
+        """Record the head of the answer; any answer belongs to the poll."""
+        self.answering.set()
+        return True
+
+
 class PeerSync:
     """Polls other nodes and answers their polls; polls random peers while the store is unavailable.
 
@@ -157,6 +180,7 @@
         # are answered.
         configuration.on_change(lambda _: self._wake())
         evacuations.on_change(self._wake)
+        age.on_confirmed(self._wake)
         self._contact_listeners: list[Callable[[Address], None]] = []
         self.store_away = False
         self.grace_until = -math.inf
@@ -231,7 +255,8 @@
         *,
         wants_news: bool = False,
         hold: float = 0.0,
-        connected: asyncio.Event | None = None,
+        progress: PollProgress | None = None,
+        is_urgent: bool = False,
     ) -> SyncReply | None:
         """Poll one peer and apply its reply; return None if there is none.
 
@@ -243,13 +268,15 @@
             Whether to ask for changes to the known nodes; a node that knows no other always does.
         hold : float
             Seconds for which the peer may wait for a change before it answers.
-        connected : asyncio.Event, optional
-            Set once the peer has accepted the connection.
+        progress : PollProgress, optional
+            Updated as the poll proceeds.
+        is_urgent : bool
+            Whether to use a new connection, because idle ones may be dead, and to give up soon.
         """
         request = self._request(address, wants_news=wants_news)
         if hold > 0:
             request = msgspec.structs.replace(request, hold=hold)
-        return await self._send(address, request, connected)
+        return await self._send(address, request, progress, is_urgent=is_urgent)
 
     async def send_crash_reports(self, address: Address) -> bool:
         """Send all known crash reports of the service; return whether the peer acknowledged."""
@@ -259,24 +286,31 @@
         return await self._send(address, request_with_reports) is not None
 
     async def _send(
-        self, address: Address, request: SyncRequest, connected: asyncio.Event | None = None
+        self,
+        address: Address,
+        request: SyncRequest,
+        progress: PollProgress | None = None,
+        *,
+        is_urgent: bool = False,
     ) -> SyncReply | None:
+        progress = progress or PollProgress()
         sent_at = self._clock.now()
+        connect = self._pool.open if is_urgent else self._pool.acquire
         try:
-            connection = await self._pool.acquire(address, CONNECT_SECONDS)
+            connection = await connect(address, CONNECT_SECONDS)
         except UnreachableError as error:
             self._log.event("peer_silent", address=address[0], reason=str(error))
             return None
-        if connected is not None:
-            connected.set()
+        progress.connected.set()
         exchange_result = await exchange_buffered(
             connection,
             b"POST",
             SYNC_PATH,
             [(b"host", address[0].encode())],
             encode_message(request),
-            timeout=request.hold + ANSWER_SECONDS,
+            timeout=request.hold + (URGENT_ANSWER_SECONDS if is_urgent else ANSWER_SECONDS),
             piece_timeout=ANSWER_SECONDS,
+            accepts=progress.answer_begins,
         )
         if isinstance(exchange_result, Lost):
             self._log.event("peer_silent", address=address[0], reason=exchange_result.code.name)
@@ -317,6 +351,7 @@
             crash_digest=self._crashes.digest(directory.me.service),
             crashes=self._crash_reports_to_send() if wants_news else [],
             era=self._era.current,
+            age=self._age.seconds(self._clock.now()),
         )
 
     def _crash_reports_to_send(self) -> list[CrashReport]:
@@ -339,8 +374,8 @@
             self._directory.full_list_received.set()
         self._responder.apply_request(request)
         received_at = self._clock.now()
-        if request.hold > 0 and not self._responder.has_changes_for(request):
-            await self._wait_for_change(min(request.hold, MAX_HOLD_SECONDS))
+        if request.hold > 0:
+            await self._hold(request, received_at)
         now = self._clock.now()
         reply = self._responder.reply_to(
             request,
@@ -350,10 +385,12 @@
         )
         exchange.respond(200, [], encode_message(reply))
 
-    async def _wait_for_change(self, seconds: float) -> None:
+    async def _hold(self, request: SyncRequest, received_at: float) -> None:
+        """Wait until the reply tells the requester something new, or its hold has passed."""
         try:
-            async with asyncio.timeout(seconds):
-                await self._changed.wait()
+            async with asyncio.timeout(min(request.hold, MAX_HOLD_SECONDS)):
+                while not self._responder.has_changes_for(request, received_at):
+                    await self._changed.wait()
         except TimeoutError:
             return
 
@@ -388,6 +425,9 @@
         """Renew the age, and the lease on keys if the peer's configuration is in force here."""
         if reply.age is not None:
             self._age.confirmed(sent_at + reply.held - reply.age)
+        elif not reply.store_away:
+            # An older node, which does not report its age.
+            self._age.confirmed(self._clock.now())
         delta = reply.configuration
         if reply.confirmed is not None and (delta is None or delta.version <= self.version):
             self._lease.confirmed(sent_at - reply.confirmed)
--- a/src/hoisthook/mesh/reader_exchange.py
+++ b/src/hoisthook/mesh/reader_exchange.py
@@ -5,13 +5,16 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from hoisthook.mesh.reader_polls import MIN_POLL_INTERVAL_SECONDS
+
 if TYPE_CHECKING:
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.mesh.store_readers import StoreReaders
     from hoisthook.port.clock import Randomness
 
 # Equal to the polling interval of the other nodes, so that a change that one reader has received
-# reaches all nodes of the data centre within two polls.
+# reaches all nodes of the data centre within two polls. A poll is held for as long, and answered at
+# once when the other reader has verified its configuration, so that one of them does it for both.
 EXCHANGE_SECONDS = 0.6
 
 
@@ -39,8 +42,10 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            await asyncio.sleep(EXCHANGE_SECONDS * (0.75 + 0.5 * self._randomness.random()))
+            hold = EXCHANGE_SECONDS * (0.75 + 0.5 * self._randomness.random())
             others = self._readers.other_local_readers()
+            reply = None
             if others:
                 view = others[self._randomness.randrange(len(others))]
-                await self._sync.poll(view.address, wants_news=True)
+                reply = await self._sync.poll(view.address, wants_news=True, hold=hold)
+            await asyncio.sleep(hold if reply is None else MIN_POLL_INTERVAL_SECONDS)
--- a/src/hoisthook/mesh/store_readers.py
+++ b/src/hoisthook/mesh/store_readers.py
@@ -86,8 +86,12 @@
         usable = [view for view in candidates if not self._is_excluded(view.peer.node, now)]
         return usable[: self._count] or candidates
 
+    def reads_store(self, view: PeerView) -> bool:
+        """Return whether a node is one of the readers of this data centre."""
+        return any(reader is view for reader in self._readers(self._order()))
+
     def note_store_rejection(self, view: PeerView) -> None:
-        """Exclude for a while a reader that reports the store as unavailable."""
+        """Exclude for a while a reader that the store does not answer."""
         self._excluded_until[view.peer.node] = self._clock.now() + EXCLUSION_SECONDS
 
     def readers_of_all_data_centres(self) -> list[PeerView]:
--- a/src/hoisthook/mesh/sync_messages.py
+++ b/src/hoisthook/mesh/sync_messages.py
@@ -99,6 +99,9 @@
         All these reports, if the receiver may lack some of them.
     era : int or None
         Newest era of the store that it knows of.
+    age : float or None
+        Seconds since its configuration was known to be the newest published; None from older nodes
+        and before the first confirmation.
     """
 
     sender: Peer
@@ -116,6 +119,7 @@
     crash_digest: int = 0
     crashes: list[CrashReport] = []
     era: int | None = None
+    age: float | None = None
 
 
 class SyncReply(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/hoisthook/mesh/sync_responder.py
+++ b/src/hoisthook/mesh/sync_responder.py
@@ -7,6 +7,9 @@
 from hoisthook.membership.suspicion import SuspicionTable
 from hoisthook.mesh.sync_messages import SyncReply
 
+# A held request is answered early if that makes the requester's configuration younger by this much.
+MIN_AGE_GAIN_SECONDS = 0.2
+
 if TYPE_CHECKING:
     from hoisthook.identity import DataCentre
     from hoisthook.identity import NodeId
@@ -93,13 +96,19 @@
         for node in reply.cleared:
             self._suspicions.reached(node, now)
 
-    def has_changes_for(self, request: SyncRequest) -> bool:
-        """Return whether a newer configuration or evacuation is known than the requester has."""
+    def has_changes_for(self, request: SyncRequest, received_at: float) -> bool:
+        """Return whether the requester can learn of a change, or that there is none."""
         return (
             self._configuration.version > request.configuration
             or self._evacuations.revision > request.evacuations
+            or self._is_confirmed_later(request, received_at)
         )
 
+    def _is_confirmed_later(self, request: SyncRequest, received_at: float) -> bool:
+        if request.age is None:
+            return False
+        return self._age.as_of >= received_at - request.age + MIN_AGE_GAIN_SECONDS
+
     def reply_to(
         self, request: SyncRequest, *, store_away: bool, grace: float = 0.0, held: float = 0.0
     ) -> SyncReply:
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -86,6 +86,8 @@
         Topic of the nodes' records; the store retains the newest record of each key.
     readers_per_data_centre : int
         Nodes per data centre that read the store directly; the other nodes poll one of them.
+    apply_seconds : float
+        A change of the configuration is in force on all nodes this long after its acknowledgement.
     """
 
     address: str
@@ -94,6 +96,7 @@
     nodes_topic: str
     readers_per_data_centre: int = 2
     evacuation_prefix: str = ""
+    apply_seconds: float = 2.0
 
 
 class MeshShutdownSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/standin/configuration_fleet.py
+++ b/standin/configuration_fleet.py
@@ -56,6 +56,8 @@
 STORE_ADDRESS: Address = ("store", 1)
 PEER_PORT = 8300
 LATENCY_SECONDS = 0.001
+# The platform's bound: a change is in force this long after its acknowledgement.
+APPLY_SECONDS = 2.0
 # Time after which a lost packet is sent again; doubles with each loss in a row.
 RETRANSMISSION_SECONDS = 0.2
 
@@ -226,7 +228,13 @@
     """
 
     def __init__(
-        self, peer: Peer, network: FleetNetwork, readers: int, seed: int, log: ListLog
+        self,
+        peer: Peer,
+        network: FleetNetwork,
+        readers: int,
+        apply_seconds: float,
+        seed: int,
+        log: ListLog,
     ) -> None:
         clock = LoopClock()
         randomness = random.Random(seed)
@@ -271,6 +279,7 @@
             sync=self.sync,
             readers=self.readers,
             peers_known=self.directory.peers_known,
+            apply_seconds=apply_seconds,
             clock=clock,
             randomness=randomness,
             log=log,
@@ -320,7 +329,14 @@
             for number in range(nodes)
         ]
         self.nodes = [
-            FleetNode(peer, self.network, readers, self._randomness.getrandbits(32), self.log)
+            FleetNode(
+                peer,
+                self.network,
+                readers,
+                APPLY_SECONDS,
+                self._randomness.getrandbits(32),
+                self.log,
+            )
             for peer in peers
         ]
         for node in self.nodes:
--- a/tests/mesh/test_configuration_watch.py
+++ b/tests/mesh/test_configuration_watch.py
@@ -6,6 +6,8 @@
 import pytest
 
 from hoisthook.mesh import configuration_watch
+from hoisthook.mesh import reader_polls
+from hoisthook.traffic import configuration_freshness
 from standin.mesh_store import Outage
 from standin.published_configuration import RouteOptions
 from tests.waiting import until
@@ -19,9 +21,11 @@
 
 @pytest.fixture(autouse=True)
 def long_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Prevent waits for changes from timing out, so that calls can be counted."""
+    """Prevent waits for changes and checks from ending, so that calls can be counted."""
     monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", LONG_SECONDS)
     monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(configuration_freshness, "CHECK_SHARE", LONG_SECONDS)
+    monkeypatch.setattr(configuration_freshness, "STALE_SHARE", LONG_SECONDS)
 
 
 async def test_pending_wait_delivers_a_change(system: MeshSystem) -> None:
@@ -209,7 +213,7 @@
     followers = [m for m in system.machines if m.node._watch._readers.poll_targets()]
     for machine in followers:
         monkeypatch.setattr(machine.node.sync._exchange._decode, "assemble", lambda parts: None)
-    monkeypatch.setattr(configuration_watch, "POLL_HOLD_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(reader_polls, "POLL_HOLD_SECONDS", LONG_SECONDS)
     system.publish(2, RouteOptions("shop"))
     # Each follower logs one event for the delta and one for the full configuration.
     await until(lambda: len(system.log.named("configuration_misfit")) >= 2 * len(followers))
--- a/tests/mesh/test_late_configuration.py
+++ b/tests/mesh/test_late_configuration.py
@@ -8,19 +8,22 @@
 import pytest
 
 from hoisthook.experiment.virtual_loop import run_virtually
+from hoisthook.mesh.store_readers import SPARE_READERS_FACTOR
+from standin.configuration_fleet import APPLY_SECONDS
+from standin.configuration_fleet import STORE_ADDRESS
 from standin.configuration_fleet import ConfigurationFleet
+from standin.mesh_store import Outage
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from standin.configuration_fleet import FleetExchange
     from standin.configuration_fleet import FleetNode
 
     Disturbance = Callable[[ConfigurationFleet], Awaitable[Iterable[FleetNode]]]
 
-# The platform's bound: a change is in force this long after its acknowledgement.
-APPLY_SECONDS = 2.0
 # After connections go silent, machines count as undisturbed again after this time.
 STABLE_SECONDS = 3.0
 SEEDS = range(8)
@@ -94,3 +97,46 @@
 
 def test_change_is_in_force_in_time_with_frozen_readers_after_silence() -> None:
     assert late(delays(4, 22, 2, silence_then_freeze)) == {}
+
+
+@pytest.mark.parametrize("outage", [Outage.BUSY, Outage.SILENT])
+def test_few_nodes_call_a_store_that_is_away_for_long(outage: Outage) -> None:
+    callers: set[str] = set()
+
+    async def main() -> None:
+        fleet = ConfigurationFleet(1, 60, 2, seed=1)
+        await fleet.start()
+        await asyncio.sleep(5.0)
+        serve = fleet.network.handler_by_address[STORE_ADDRESS]
+
+        async def serve_and_record(exchange: FleetExchange) -> None:
+            callers.add(exchange.peer[0])
+            await serve(exchange)
+
+        fleet.network.handler_by_address[STORE_ADDRESS] = serve_and_record
+        fleet.store.outage = outage
+        await asyncio.sleep(10.0)
+        await fleet.close()
+
+    run_virtually(main())
+    # Two readers and those that take their place, see `StoreReaders`.
+    assert len(callers) <= 2 * SPARE_READERS_FACTOR
+
+
+def test_confirmations_cost_as_few_calls_however_many_nodes_poll() -> None:
+    calls: dict[int, int] = {}
+
+    async def count(nodes: int) -> None:
+        fleet = ConfigurationFleet(1, nodes, 2, seed=1)
+        await fleet.start()
+        await asyncio.sleep(5.0)
+        before = len(fleet.store.calls)
+        await asyncio.sleep(20.0)
+        calls[nodes] = len(fleet.store.calls) - before
+        assert fleet.log.named("configuration_stale") == []
+        await fleet.close()
+
+    for nodes in (4, 100):
+        run_virtually(count(nodes))
+    # Two readers that each verify by themselves would make 50 calls.
+    assert max(calls.values()) <= 36
--- a/tests/mesh/test_store_calls.py
+++ b/tests/mesh/test_store_calls.py
@@ -13,17 +13,20 @@
 from hoisthook.identity import parse_address
 from hoisthook.mesh import configuration_watch
 from hoisthook.mesh import peer_sync
+from hoisthook.mesh import reader_polls
 from hoisthook.mesh import registration
 from hoisthook.mesh import store_readers
-from hoisthook.mesh.configuration_watch import ConfigurationWatch
 from hoisthook.mesh.peer_sync import PeerSync
+from hoisthook.mesh.reader_polls import ReaderPolls
 from hoisthook.result_code import ResultCode
+from hoisthook.traffic import configuration_freshness
 from standin.mesh_store import Outage
 from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.server_exchange import ServerExchange
+    from hoisthook.mesh.sync_messages import SyncReply
     from standin.mesh_system import MeshSystem
 
 LONG_SECONDS = 60.0
@@ -32,9 +35,11 @@
 
 @pytest.fixture(autouse=True)
 def long_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Prevent waits for changes and periodic reads from ending, so that calls can be counted."""
+    """Prevent waits, checks and periodic reads from ending, so that calls can be counted."""
     monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", LONG_SECONDS)
     monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(configuration_freshness, "CHECK_SHARE", LONG_SECONDS)
+    monkeypatch.setattr(configuration_freshness, "STALE_SHARE", LONG_SECONDS)
     monkeypatch.setattr(registration, "MIN_READ_SECONDS", LONG_SECONDS)
 
 
@@ -84,7 +89,7 @@
     started = [await system.add("shop", announced=False) for _ in range(NODES)]
     await until(lambda: len(requests) >= NODES)
     # Well beyond the time within which a running reader usually answers.
-    await asyncio.sleep(4 * configuration_watch.FIRST_ANSWER_TIMEOUT_SECONDS)
+    await asyncio.sleep(4 * reader_polls.FIRST_ANSWER_TIMEOUT_SECONDS)
     may_answer.set()
     await system.until_configured(2)
     readers = [m for m in started if not m.node._watch._readers.poll_targets()]
@@ -99,16 +104,16 @@
 ) -> None:
     """Guards against mistaking a stall of the node itself for unresponsive readers."""
     await settled_system(system)
-    poll = ConfigurationWatch._poll
-    stalls = [3 * configuration_watch.FIRST_ANSWER_TIMEOUT_SECONDS]
+    poll = ReaderPolls._poll_one
+    stalls = [3 * reader_polls.FIRST_ANSWER_TIMEOUT_SECONDS]
 
-    async def stalls_then_polls(watch: ConfigurationWatch, *args: Any, **named: Any) -> bool:
-        if watch._holder.current is None and stalls:
+    async def stalls_then_polls(polls: ReaderPolls, *args: Any, **named: Any) -> SyncReply | None:
+        if polls._holder.current is None and stalls:
             # The stall happens while the connection is being opened.
             asyncio.get_running_loop().call_soon(time.sleep, stalls.pop())
-        return await poll(watch, *args, **named)
+        return await poll(polls, *args, **named)
 
-    monkeypatch.setattr(ConfigurationWatch, "_poll", stalls_then_polls)
+    monkeypatch.setattr(ReaderPolls, "_poll_one", stalls_then_polls)
     before = len(system.store.calls)
     machine = await system.add("shop", announced=False)
     await system.until_configured(2)
@@ -149,7 +154,7 @@
 async def test_few_nodes_call_a_store_that_rejects_all(
     system: MeshSystem, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(configuration_watch, "POLL_HOLD_SECONDS", 0.1)
+    monkeypatch.setattr(reader_polls, "POLL_HOLD_SECONDS", 0.1)
     monkeypatch.setattr(store_readers, "EXCLUSION_SECONDS", LONG_SECONDS)
     await settled_system(system)
     system.store.outage = Outage.BUSY
--- a/tests/mesh/test_store_readers.py
+++ b/tests/mesh/test_store_readers.py
@@ -14,6 +14,7 @@
 from hoisthook.mesh.peer_directory import PeerDirectory
 from hoisthook.mesh.store_readers import SPARE_READERS_FACTOR
 from hoisthook.mesh.store_readers import StoreReaders
+from hoisthook.traffic import configuration_freshness
 from standin.mesh_system import ListLog
 from standin.published_configuration import RouteOptions
 from tests.fakes import FakeClock
@@ -29,9 +30,11 @@
 
 @pytest.fixture(autouse=True)
 def long_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Prevent waits for changes from timing out, so that calls can be counted."""
+    """Prevent waits for changes and checks from ending, so that calls can be counted."""
     monkeypatch.setattr(configuration_watch, "MIN_WAIT_SECONDS", LONG_SECONDS)
     monkeypatch.setattr(configuration_watch, "MAX_WAIT_SECONDS", LONG_SECONDS)
+    monkeypatch.setattr(configuration_freshness, "CHECK_SHARE", LONG_SECONDS)
+    monkeypatch.setattr(configuration_freshness, "STALE_SHARE", LONG_SECONDS)
 
 
 async def one_data_centre(system: MeshSystem) -> tuple[list[Machine], list[Machine]]:
--- a/tests/settings/test_mesh_settings.py
+++ b/tests/settings/test_mesh_settings.py
@@ -22,6 +22,7 @@
     "app": "10.0.0.1:8",
     "platform.address": "10.9.0.1:9",
     "bounds.graceS": "6",
+    "bounds.configApplyS": "2.5",
     "bounds.budgetRatio": "0.2",
     "bounds.budgetWindowS": "10",
     "bounds.budgetExtra": "58",
