A node that starts admits nothing before its backend server has answered it

Cause: a request that has begun before the first configuration reads the health check, whose path is not known yet, so that nothing is read; the configuration arrives during that await, and the decision, which refuses only where the path is missing, admits with the state of the server unknown. Ruled out: a health check that passes while the server drains; none was read.

Change: until the server has answered this process, its health is read first. With no answer and no heartbeat nothing is admitted; with a heartbeat, but a health check that stays silent, one request at a time. A node whose heartbeat arrives first reads the health once, so that what its predecessor was told in answers is known too.

--- a/src/hoisthook/local_backend/backend_exchange.py
+++ b/src/hoisthook/local_backend/backend_exchange.py
@@ -158,6 +158,7 @@
         self._pool.keep(self._address, connection)
         self._exit_detector.answered(instance, started)
         head, body = answer
+        self._observed_backend.has_answered = True
         outcome = self._read_answer(call, head, body)
         self._log.decision(
             "backend_answered",
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -12,6 +12,7 @@
 from hoisthook.local_backend.backend_exchange import FAILURE_STATUS
 from hoisthook.local_backend.backend_exchange import BackendExchanges
 from hoisthook.local_backend.exit_detector import ExitDetector
+from hoisthook.mesh.health_reader import UNREACHABLE_BACKOFF_SECONDS
 from hoisthook.mesh.health_reader import HealthReader
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.node_load import NodeLoad
@@ -220,7 +221,7 @@
             Called with the maximum queue time in seconds if the request is queued for a slot.
         """
         demand = self._demand(call)
-        if self.observed_backend.state is BackendState.UNKNOWN:
+        if not self.observed_backend.has_answered:
             await self._admitter.read()
             self._update_gate()
         elif self.observed_backend.takes_work:
@@ -261,6 +262,13 @@
             return Refused(ResultCode.CONFIGURATION_MISSING, MIN_RETRY_AFTER_SECONDS)
         if not observed_backend.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
+        if not observed_backend.has_answered:
+            if observed_backend.state is BackendState.UNKNOWN:
+                return Refused(ResultCode.UNREACHABLE, UNREACHABLE_BACKOFF_SECONDS)
+            if self.gate.running > 0:
+                # Announced as ready, but its health check does not answer: the first request shows
+                # what its answers say.
+                return Refused(ResultCode.SLOTS_FULL, MIN_RETRY_AFTER_SECONDS)
         if now < observed_backend.unavailable_until:
             return Refused(ResultCode.UNREACHABLE, observed_backend.unavailable_until - now)
         if call.time_left(now) <= 0:
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -126,6 +126,7 @@
             return
         self._pool.keep(self._address, connection)
         head, _ = answer
+        self._observed_backend.has_answered = True
         reading = self._wire.read(head)
         if head.status >= UNHEALTHY_STATUS:
             self._observed_backend.reported_unhealthy()
--- a/src/hoisthook/mesh/observed_backend.py
+++ b/src/hoisthook/mesh/observed_backend.py
@@ -98,6 +98,8 @@
         Number of requests that it can run at once, as last reported; 0 until it is known.
     unavailable_until : float
         Time until which it is sent no requests, on the node's clock.
+    has_answered : bool
+        Whether it has answered this process, so that what its answers say is known.
     """
 
     def __init__(self, log: EventLog) -> None:
@@ -109,6 +111,7 @@
         self._recent_failures: deque[bool] = deque(maxlen=RECENT_ANSWERS)
         self._dropped_in_a_row = 0
         self._dropped_backoff = INITIAL_DROPPED_BACKOFF_SECONDS
+        self.has_answered = False
         self.state = BackendState.UNKNOWN
         self.slots = 0
         self.unavailable_until = -math.inf
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -75,6 +75,8 @@
         self.may_finish.set()
         self.slowdown = 100
         self.healthy = True
+        # Whether health checks get no answer.
+        self.is_mute = False
         self.cold_seconds = 0.0
         self.born: int | None = None
         self.fault = Fault.NONE
@@ -181,6 +183,8 @@
         headers = dict(exchange.head.headers)
         if exchange.head.target == b"/healthz":
             self.health_reads += 1
+            if self.is_mute:
+                await asyncio.Event().wait()
             health_headers = self._load_headers()
             if self.healthy and self.cold_seconds > 0:
                 health_headers.append((b"x-cold-ms", b"%d" % round(self.cold_seconds * 1000.0)))
