A request that yields does not wait beyond its deadline

What callers saw: a request whose deadline lies before its target latency was held at a full backend server until the deadline, and answered 504, instead of being refused at once. Found while testing a server that names a limit: 5 of 60 requests with a deadline of 400 ms ended so.

Cause: the branch for requests that yield returned the latest start for the target without the bound by the deadline, which the other branch has. test_request_that_yields_does_not_wait_beyond_its_deadline failed before.

--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -113,7 +113,7 @@
         seconds = self._speed.seconds_usual(demand.work, now)
         until = demand.due - self._speed.seconds_usual(demand.work + demand.spread, now)
         if self._gate.yields(demand):
-            return until
+            return min(until, demand.deadline - seconds)
         until = max(until, now + self._gate.turnover_seconds)
         if self._speed.is_worth_holding(demand.work, now):
             until = max(
--- a/tests/admission/test_admission_policy.py
+++ b/tests/admission/test_admission_policy.py
@@ -155,3 +155,15 @@
     harness.report(1.0)
     harness.gate.admit()
     assert await waiting is not None
+
+
+async def test_request_that_yields_does_not_wait_beyond_its_deadline(
+    harness: AdmissionHarness,
+) -> None:
+    """Guards against requests that are held to a deadline which lies before their target."""
+    await harness.fill()
+    assert harness.policy.start_now(harness.demand()).verdict is Verdict.FULL
+    now = harness.clock.now()
+    demand = Demand(1, now + 1.0, now + 0.4, WORK, 0.0)
+    assert harness.gate.yields(demand)
+    assert harness.policy.waits_until(demand) <= demand.deadline - WORK
