Limits that backend servers name in their answers are logged

Cause: nothing read the headers Server-Limit and Server-Leaving, and no event told that a server had named a limit.

Nothing decides by it yet. Both headers go to callers as before.

--- a/src/hoisthook/local_backend/backend_exchange.py
+++ b/src/hoisthook/local_backend/backend_exchange.py
@@ -8,6 +8,7 @@
 from hoisthook.admission.running_requests import RunningRequest
 from hoisthook.exceptions import UnreachableError
 from hoisthook.local_backend.exit_detector import LostRequest
+from hoisthook.mesh.backend_notices import AnswerSource
 from hoisthook.mesh.buffered_exchange import exchange_buffered
 from hoisthook.mesh.health_reader import CONNECT_SECONDS
 from hoisthook.mesh.health_reader import UNREACHABLE_BACKOFF_SECONDS
@@ -30,10 +31,12 @@
     from hoisthook.identity import Address
     from hoisthook.identity import InstanceId
     from hoisthook.local_backend.exit_detector import ExitDetector
+    from hoisthook.mesh.backend_notices import BackendNotices
     from hoisthook.mesh.observed_backend import ObservedBackend
     from hoisthook.mesh.outcome import Outcome
     from hoisthook.mesh.routed_call import RoutedCall
     from hoisthook.port.backend_wire import BackendWire
+    from hoisthook.port.backend_wire import DecodedAnswerHead
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
 
@@ -81,6 +84,8 @@
         Notified of requests that start and end there, and of the reported load.
     exit_detector : ExitDetector
         Notified of lost requests and of answers.
+    notices : BackendNotices
+        Notified of limits and of a backend server that leaves.
     clock : Clock
         Monotonic, the event loop's own.
     log : EventLog
@@ -96,6 +101,7 @@
         speed: ServerSpeed,
         running: RunningRequests,
         exit_detector: ExitDetector,
+        notices: BackendNotices,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -106,6 +112,7 @@
         self._speed = speed
         self._running = running
         self._exit_detector = exit_detector
+        self._notices = notices
         self._clock = clock
         self._log = log
 
@@ -159,7 +166,16 @@
         self._exit_detector.answered(instance, started)
         head, body = answer
         self._observed_backend.has_answered = True
-        outcome = self._read_answer(call, head, body)
+        reading = self._wire.read(head)
+        outcome = self._read_answer(call, reading, head.status, body)
+        if reading.kind is not AnswerKind.SPOILED:
+            self._notices.apply(
+                reading.notice,
+                AnswerSource.REQUEST,
+                reading.instance or instance,
+                requested_at=started,
+                now=self._clock.now(),
+            )
         self._log.decision(
             "backend_answered",
             request=call.request_id,
@@ -228,8 +244,9 @@
         else:
             self._observed_backend.dropped(self._clock.now())
 
-    def _read_answer(self, call: RoutedCall, head: AnswerHead, body: bytes) -> Outcome:
-        reading = self._wire.read(head)
+    def _read_answer(
+        self, call: RoutedCall, reading: DecodedAnswerHead, status: int, body: bytes
+    ) -> Outcome:
         if reading.load is not None:
             self._observed_backend.load_reported(reading.load)
             self._running.reported(reading.load.running + reading.load.waiting)
@@ -244,9 +261,9 @@
             case AnswerKind.SPOILED:
                 self._observed_backend.answered(failed=True)
                 self._log.decision(
-                    "backend_spoiled", request=call.request_id, status=head.status, bytes=len(body)
+                    "backend_spoiled", request=call.request_id, status=status, bytes=len(body)
                 )
                 return Lost(ResultCode.ANSWER_SPOILED)
             case AnswerKind.OWN:
-                self._observed_backend.answered(failed=head.status >= FAILURE_STATUS)
-                return CompleteAnswer(head.status, reading.headers, body)
+                self._observed_backend.answered(failed=status >= FAILURE_STATUS)
+                return CompleteAnswer(status, reading.headers, body)
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -12,6 +12,7 @@
 from hoisthook.local_backend.backend_exchange import FAILURE_STATUS
 from hoisthook.local_backend.backend_exchange import BackendExchanges
 from hoisthook.local_backend.exit_detector import ExitDetector
+from hoisthook.mesh.backend_notices import BackendNotices
 from hoisthook.mesh.health_reader import UNREACHABLE_BACKOFF_SECONDS
 from hoisthook.mesh.health_reader import HealthReader
 from hoisthook.mesh.hop_header import Admission
@@ -119,6 +120,7 @@
         self._speed = ServerSpeed()
         self.running = RunningRequests(clock)
         self.observed_backend = ObservedBackend(log)
+        self._notices = BackendNotices(self.observed_backend, log)
         self.exit_detector = ExitDetector(
             lambda: address, pool, lambda: self.observed_backend.takes_work, clock, log
         )
@@ -130,11 +132,20 @@
             self._speed,
             self.running,
             self.exit_detector,
+            self._notices,
             clock,
             log,
         )
         self.health = HealthReader(
-            address, wire, pool, self.observed_backend, self._speed, self.running, clock, log
+            address,
+            wire,
+            pool,
+            self.observed_backend,
+            self._speed,
+            self.running,
+            self._notices,
+            clock,
+            log,
         )
         self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.observed_backend.on_replaced(self._replaced)
@@ -222,6 +233,7 @@
         """
         demand = self._demand(call)
         if not self.observed_backend.has_answered:
+            # A limit or a drain that the node's predecessor was told of must hold here too.
             await self._admitter.read()
             self._update_gate()
         elif self.observed_backend.takes_work:
@@ -335,7 +347,7 @@
             self._crash_monitor.request_succeeded(call)
         elif isinstance(outcome, Lost) and outcome.code is ResultCode.DEADLINE_DURING_RUN:
             self._admitter.record_abandoned(admitted_request, exchange_result.seconds)
-        # The answer may have changed the number of slots or the incarnation.
+        # The answer may have changed the number of slots, the incarnation or the limit.
         self._update_gate()
         if isinstance(outcome, Refused) and outcome.code is ResultCode.BACKEND_SERVER_SHED:
             return Refused(outcome.code, self._time_to_slot(call))
@@ -352,6 +364,7 @@
         self.exit_detector.replaced()
         self._speed.reset()
         self.gate.cold.forget()
+        self._notices.forget()
         self._pool.forget(self._address)
 
     def _update_cold_state(self, remaining: float, requested_at: float) -> None:
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -7,6 +7,7 @@
 
 from hoisthook.exceptions import UnreachableError
 from hoisthook.identity import format_address
+from hoisthook.mesh.backend_notices import AnswerSource
 from hoisthook.mesh.buffered_exchange import exchange_buffered
 from hoisthook.node.call import Lost
 
@@ -17,6 +18,7 @@
     from hoisthook.admission.running_requests import RunningRequests
     from hoisthook.admission.server_speed import ServerSpeed
     from hoisthook.identity import Address
+    from hoisthook.mesh.backend_notices import BackendNotices
     from hoisthook.mesh.observed_backend import ObservedBackend
     from hoisthook.port.backend_wire import BackendWire
     from hoisthook.port.clock import Clock
@@ -49,6 +51,8 @@
         Notified of the slowdown that is read.
     running : RunningRequests
         Notified of the number of requests at the backend server.
+    notices : BackendNotices
+        Notified of limits and of a backend server that leaves.
     clock : Clock
         Monotonic.
     log : EventLog
@@ -68,6 +72,7 @@
         observed_backend: ObservedBackend,
         speed: ServerSpeed,
         running: RunningRequests,
+        notices: BackendNotices,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -77,6 +82,7 @@
         self._observed_backend = observed_backend
         self._speed = speed
         self._running = running
+        self._notices = notices
         self._clock = clock
         self._log = log
         self._read_task: asyncio.Task[None] | None = None
@@ -135,6 +141,14 @@
         # An answer that refuses for lack of slots may leave out that the server is cold.
         if self._on_cold is not None and (head.status == OK or reading.cold_seconds > 0):
             self._on_cold(reading.cold_seconds, requested_at)
+        instance = reading.instance or self._observed_backend.instance
+        self._notices.apply(
+            reading.notice,
+            AnswerSource.HEALTH,
+            instance,
+            requested_at=requested_at,
+            now=self._clock.now(),
+        )
         if reading.load is not None:
             self._observed_backend.load_reported(reading.load)
             self._running.reported(reading.load.running + reading.load.waiting)
--- a/src/hoisthook/port/backend_wire.py
+++ b/src/hoisthook/port/backend_wire.py
@@ -38,6 +38,25 @@
     slowdown: float
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server says about itself in an answer, besides its load.
+
+    Attributes
+    ----------
+    requests_per_second : float or None
+        Limit that it names: the requests that it takes from all nodes together; None for none.
+    unreadable_limit : bytes or None
+        Value of a limit that is not a decimal number; None if there is no such value.
+    is_leaving : bool
+        Whether it is leaving and takes no new requests.
+    """
+
+    requests_per_second: float | None = None
+    unreadable_limit: bytes | None = None
+    is_leaving: bool = False
+
+
 class AnswerKind(Enum):
     """What an answer shows about the execution of its request.
 
@@ -68,6 +87,8 @@
         End-to-end headers to forward to the caller.
     cold_seconds : float
         Remaining cold start that the backend server reports, in seconds; 0 if it reports none.
+    notice : ServerNotice
+        Limit and state that the backend server reports.
     """
 
     kind: AnswerKind
@@ -75,6 +96,7 @@
     instance: InstanceId | None
     headers: list[Header]
     cold_seconds: float = 0.0
+    notice: ServerNotice = ServerNotice()
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,3 +136,6 @@
 
     def read(self, head: AnswerHead) -> DecodedAnswerHead:
         """Decode the head of an answer."""
+
+    def read_notice(self, headers: list[Header]) -> ServerNotice:
+        """Decode the notice in the end-to-end headers of an answer."""
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -323,6 +323,14 @@
         "Give each team keys of its own.",
     )
 
+    SERVER_LIMIT_UNREADABLE = CodeEntry(
+        4012,
+        0,
+        Ran.NOT_RUN,
+        "A backend server names a limit that is not a decimal number; it is ignored.",
+        "Correct the backend server.",
+    )
+
     SETTINGS_UNREADABLE = CodeEntry(
         5001, 0, Ran.NOT_RUN, "The settings file cannot be read.", "Check path and permissions."
     )
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -75,6 +75,10 @@
         self.may_finish.set()
         self.slowdown = 100
         self.healthy = True
+        # Value of the limit that its answers name; None for none.
+        self.rate_limit: bytes | None = None
+        # Whether its answers say that it leaves.
+        self.leaving = False
         # Whether health checks get no answer.
         self.is_mute = False
         self.cold_seconds = 0.0
@@ -85,6 +89,7 @@
         self.runs: list[str] = []
         self.cancelled: list[str] = []
         self.health_reads = 0
+        self.answered = 0
         self.running = 0
         self.max_running = 0
         self.arrived = asyncio.Event()
@@ -160,7 +165,7 @@
         body = b"" if self.born is None else b'{"born":%d}' % self.born
         return await self._call_node(node, "Deregister", body)
 
-    def restart(self, born: int) -> None:
+    def restart(self, born: int | None) -> None:
         """Become a new incarnation under the same id, with its sequence reset."""
         self.born = born
         self._sequence = 0
@@ -188,7 +193,9 @@
             health_headers = self._load_headers()
             if self.healthy and self.cold_seconds > 0:
                 health_headers.append((b"x-cold-ms", b"%d" % round(self.cold_seconds * 1000.0)))
-            exchange.respond(200 if self.healthy else 503, health_headers)
+            # The platform's specification: the health check of one that leaves fails.
+            is_well = self.healthy and not self.leaving
+            exchange.respond(200 if is_well else 503, health_headers)
             return
         body = await exchange.body.read_all()
         request_id = headers[b"x-request-id"].decode()
@@ -226,6 +233,7 @@
         self._answer(exchange, request_id)
 
     def _answer(self, exchange: ServerExchange, request_id: str) -> None:
+        self.answered += 1
         echo = (b"x-request-id", request_id.encode())
         signed: list[Header] = [echo, (b"x-response-signature", SIGNATURE), *self._load_headers()]
         body = b"body of " + request_id.encode()
@@ -260,4 +268,9 @@
 
     def _load_headers(self) -> list[Header]:
         load = b"%d,0,%d,%d" % (self.running, self.slots, self.slowdown)
-        return [(b"x-server-load", load), (b"x-instance-id", self.instance.encode())]
+        headers = [(b"x-server-load", load), (b"x-instance-id", self.instance.encode())]
+        if self.rate_limit is not None:
+            headers.append((b"server-limit", self.rate_limit))
+        if self.leaving:
+            headers.append((b"server-leaving", b"1"))
+        return headers
--- a/standin/mesh_run.py
+++ b/standin/mesh_run.py
@@ -1,6 +1,6 @@
 """Runs a deployment of 13 platform nodes until interrupted.
 
-Usage: python -m standin.mesh_run [--seva]
+Usage: python -m standin.mesh_run [--seva] [--limit PER_SECOND]
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from standin.mesh_cluster import MeshCluster
 
 
-async def run(cluster: MeshCluster) -> int:
+async def run(cluster: MeshCluster, limit: str | None = None) -> int:
     """Start the cluster, print its addresses and ``ready``, and stop it when interrupted."""
     interrupted = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -23,6 +23,10 @@
         loop.add_signal_handler(number, interrupted.set)
     try:
         await cluster.start()
+        if limit is not None:
+            first_by_service = {i.service: i for i in reversed(cluster.instances)}
+            for instance in first_by_service.values():
+                instance.backend.rate_limit = limit.encode()
         for instance in cluster.instances:
             sys.stdout.write(
                 f"{instance.name} ({instance.data_centre}, {instance.service})"
@@ -44,8 +48,12 @@
     parser.add_argument(
         "--seva", action="store_true", help="deployment of Paschimbanga Seva instead of Teranga"
     )
+    parser.add_argument(
+        "--limit", help="requests a second that the first backend server of each service names"
+    )
     arguments = parser.parse_args()
-    sys.exit(asyncio.run(run(MeshCluster(SEVA if arguments.seva else TERANGA))))
+    cluster = MeshCluster(SEVA if arguments.seva else TERANGA)
+    sys.exit(asyncio.run(run(cluster, arguments.limit)))
 
 
 if __name__ == "__main__":
