A backend server gets no more than the limit it names, and nothing once it leaves

Cause: nothing decided by these headers, and a node that starts knew neither what they had said nor what its predecessor had sent.

Change, at the server's node, through which all its requests pass: RateLimit admits as many requests as take at least a second at the rate, in any window of that length. It counts on the same log of sent requests as the limit of a cold server (SendLog), so repeats, hedges and calls count; the first window of a process counts as full. Urgent work goes first, as with a cold server; what cannot be served before its deadline is refused at once, with the time at which the limit admits it. A server whose limit is used up is reported as full, in the load report as it is, which older nodes understand. Leaving counts as draining until another incarnation runs, whatever announcements say, and ingress nodes pass the node over for a second, as after a refusal.

ColdLimit's tests are the same, on the log that it shares now.

--- a/src/hoisthook/admission/admission_policy.py
+++ b/src/hoisthook/admission/admission_policy.py
@@ -128,7 +128,10 @@
 
     def _capacity_verdict(self) -> Verdict:
         is_full = self._gate.running >= self._gate.limit
-        return Verdict.FULL if is_full or self._gate.cold.limit is None else Verdict.COLD
+        is_limited = self._gate.rate.per_second is not None
+        return (
+            Verdict.FULL if is_full or is_limited or self._gate.cold.limit is None else Verdict.COLD
+        )
 
     def _note_rejection(self, demand: Demand) -> None:
         now = self._clock.now()
--- a/src/hoisthook/admission/cold_limit.py
+++ b/src/hoisthook/admission/cold_limit.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
-from bisect import bisect_left
-from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from hoisthook.admission.send_log import SendLog
 
 # Length of the sliding window. The limit applies to requests that arrive within any one second;
 # the remaining 0.1 s covers the transit time from the node to the server on the same instance.
@@ -29,25 +31,24 @@
     beyond it only after a read of its health that began later than the first of them. There is no
     limit if operators set no rate.
 
-    All requests for a backend server pass through its node, so this count covers those of all
-    ingress nodes. What the node's predecessor process sent is unknown, so the first window of a
-    process counts as full, unless the server turned cold after the predecessor's end. Without
-    that exception, 24 nodes rejected 711 requests in one second after a restart of all instances
-    with their servers.
+    What the node's predecessor process sent is unknown, so the first window of a process counts as
+    full, unless the server turned cold after the predecessor's end. Without that exception, 24
+    nodes rejected 711 requests in one second after a restart of all instances with their servers.
 
     Parameters
     ----------
     now : float
         Start of the process, in seconds on the node's clock.
+    sends : SendLog
+        Requests sent to the server.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, sends: SendLog) -> None:
         self._limit: int | None = None
         self._cold_seconds = 0.0
         self._started_at = now
         self._cold_since = -math.inf
-        self._reserved = 0
-        self._sent: deque[float] = deque()
+        self.sends = sends
         self._cold_until = -math.inf
         self._observed_at = -math.inf
 
@@ -104,20 +105,6 @@
         self._cold_until = -math.inf
         self._cold_since = -math.inf
 
-    def reserve(self) -> None:
-        """Count a request that is admitted and not sent yet."""
-        self._reserved += 1
-
-    def release(self) -> None:
-        """Stop counting an admitted request that will not be sent."""
-        self._reserved -= 1
-
-    def sent(self, now: float) -> None:
-        """Record that an admitted request is sent."""
-        self._reserved -= 1
-        if self._limit is not None:
-            self._sent.append(now)
-
     def is_cold(self, now: float) -> bool:
         """Return whether the server is known to be cold."""
         return now < self._cold_until
@@ -129,7 +116,7 @@
         available = self._limit - self._used(now)
         if not self.is_cold(now):
             available = max(
-                available, self._limit - self._reserved - self._sent_since(self._observed_at)
+                available, self._limit - self.sends.reserved - self._sent_since(self._observed_at)
             )
         return max(0, available)
 
@@ -144,10 +131,7 @@
         missing = ahead + 1 - self.available(now)
         if self._limit is None or missing <= 0:
             return 0.0
-        waits_full_window = missing > len(self._sent)
-        available_at = (
-            now + WINDOW_SECONDS if waits_full_window else self._sent[missing - 1] + WINDOW_SECONDS
-        )
+        available_at = self.sends.expiry(missing, now, WINDOW_SECONDS)
         if self._counts_predecessor(now):
             available_at = max(available_at, self._started_at + WINDOW_SECONDS)
         if self.is_cold(now):
@@ -155,10 +139,8 @@
         return max(0.0, available_at - now)
 
     def _used(self, now: float) -> int:
-        while self._sent and self._sent[0] <= now - WINDOW_SECONDS:
-            self._sent.popleft()
         predecessor_sent = self._limit or 0 if self._counts_predecessor(now) else 0
-        return self._reserved + len(self._sent) + predecessor_sent
+        return self.sends.used(now, WINDOW_SECONDS) + predecessor_sent
 
     def _counts_predecessor(self, now: float) -> bool:
         """Return whether requests sent by the predecessor process may still count."""
@@ -169,4 +151,4 @@
         if since < self._started_at:
             # Not observed by this process, so the predecessor may have used the whole limit.
             return self._limit or 0
-        return len(self._sent) - bisect_left(self._sent, since)
+        return self.sends.sent_since(since)
--- a/src/hoisthook/admission/priority_gate.py
+++ b/src/hoisthook/admission/priority_gate.py
@@ -10,6 +10,8 @@
 
 from hoisthook.admission.cold_limit import ColdLimit
 from hoisthook.admission.pressure import Pressure
+from hoisthook.admission.rate_limit import RateLimit
+from hoisthook.admission.send_log import SendLog
 from hoisthook.admission.urgent_arrivals import UrgentArrivals
 
 if TYPE_CHECKING:
@@ -83,8 +85,10 @@
     ----------
     cold : ColdLimit
         Limits the requests sent in a second while the server is cold.
+    rate : RateLimit
+        Limits the requests sent while the server names a rate.
     urgent : UrgentArrivals
-        Determines how much of that limit is withheld for more urgent requests.
+        Determines how much of these limits is withheld for more urgent requests.
     pressure : Pressure
         Determines whether late requests yield to those that can meet their target.
     """
@@ -93,7 +97,9 @@
         self._limit = limit
         self._speed = speed
         self._clock = clock
-        self.cold = ColdLimit(clock.now())
+        self._sends = SendLog()
+        self.cold = ColdLimit(clock.now(), self._sends)
+        self.rate = RateLimit(clock.now(), self._sends)
         self.urgent = UrgentArrivals()
         self.pressure = Pressure()
         self._waiters: list[_Waiter] = []
@@ -122,17 +128,27 @@
 
     def has_capacity_for(self, demand: Demand) -> bool:
         """Return whether there is capacity that is not withheld for more urgent requests."""
-        return self.has_capacity and self._is_within_cold_limit(demand)
+        return self.has_capacity and self._is_within_rates(demand)
 
-    def _is_within_cold_limit(self, demand: Demand) -> bool:
-        return self.cold.available(self._clock.now()) > self._withheld_from(demand)
+    @property
+    def is_rate_used_up(self) -> bool:
+        """Return whether the rate that the server names admits no request now."""
+        return self.rate.available(self._clock.now()) <= 0
+
+    def _sendable(self, now: float) -> int:
+        return min(self.cold.available(now), self.rate.available(now))
+
+    def _is_within_rates(self, demand: Demand) -> bool:
+        return self._sendable(self._clock.now()) > self._withheld_from(demand)
 
     def _withheld_from(self, demand: Demand) -> int:
         now = self._clock.now()
-        limit = self.cold.limit
-        if limit is None or not self.cold.is_cold(now):
-            return 0
-        return self.urgent.withheld_from(demand.priority, limit, now)
+        limits = []
+        if self.cold.limit is not None and self.cold.is_cold(now):
+            limits.append(self.cold.limit)
+        if self.rate.per_second is not None:
+            limits.append(int(self.rate.per_second))
+        return self.urgent.withheld_from(demand.priority, min(limits), now) if limits else 0
 
     @property
     def is_holding(self) -> bool:
@@ -141,7 +157,7 @@
 
     @property
     def _may_start(self) -> bool:
-        return self.running < self._limit and self.cold.available(self._clock.now()) > 0
+        return self.running < self._limit and self._sendable(self._clock.now()) > 0
 
     @property
     def turnover_seconds(self) -> float:
@@ -198,7 +214,11 @@
                 heapq.heappush(ends, start + self._speed.seconds_usual(waiter.demand.work, now))
                 start = self._next_start(ends)
                 ahead += 1
-        return max(start, now + self.cold.seconds_until_available(now, ahead))
+        until_sendable = max(
+            self.cold.seconds_until_available(now, ahead),
+            self.rate.seconds_until_available(now, ahead),
+        )
+        return max(start, now + until_sendable)
 
     def set_limit(self, limit: int) -> None:
         """Change the limit without affecting running requests."""
@@ -243,14 +263,14 @@
         """Release a slot."""
         self._running.remove(slot)
         if not slot.is_sent:
-            self.cold.release()
+            self._sends.release()
         self.admit()
 
     def sent(self, slot: Slot) -> None:
         """Record that the request that holds a slot is sent."""
         if not slot.is_sent:
             slot.is_sent = True
-            self.cold.sent(self._clock.now())
+            self._sends.sent(self._clock.now())
             self.urgent.sent(slot.priority, self._clock.now())
 
     def admit(self) -> None:
@@ -259,7 +279,7 @@
             startable = [
                 w
                 for w in self._waiters
-                if self._is_within_cold_limit(w.demand) and self.is_startable(w.demand)
+                if self._is_within_rates(w.demand) and self.is_startable(w.demand)
             ]
             if not startable:
                 return
@@ -286,7 +306,7 @@
         usual = self._speed.seconds_usual(demand.work, now)
         slot = Slot(now + seconds, seconds, usual, demand.priority)
         self._running.add(slot)
-        self.cold.reserve()
+        self._sends.reserve()
         return slot
 
     def _withdraw(self, waiter: _Waiter) -> Slot | None:
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -150,6 +150,7 @@
         self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.observed_backend.on_replaced(self._replaced)
         self.health.on_cold(self._update_cold_state)
+        self._notices.on_limit(self._apply_rate_limit)
         if settings.cold_factor > 0:
             # No requests are sent to a cold server until the operators' rate is known.
             self.gate.cold.set_rate_limit(0)
@@ -203,7 +204,8 @@
     def load(self) -> NodeLoad:
         """Return the current load."""
         return NodeLoad(
-            running=self.gate.running,
+            # A server whose limit is used up counts as full, so that older nodes understand it too.
+            running=self.gate.limit if self.gate.is_rate_used_up else self.gate.running,
             waiting=self.gate.waiting,
             limit=self.gate.limit,
             slowdown=self._speed.slowdown,
@@ -376,6 +378,12 @@
                 "backend_cold", instance=self.observed_backend.instance, seconds=round(remaining, 2)
             )
 
+    def _apply_rate_limit(self, per_second: float | None) -> None:
+        if per_second is None:
+            self.gate.rate.ended()
+        else:
+            self.gate.rate.named(per_second)
+
     def _time_to_slot(self, call: RoutedCall) -> float:
         return self._admitter.policy.time_to_start(self._demand(call))
 
--- a/src/hoisthook/mesh/backend_notices.py
+++ b/src/hoisthook/mesh/backend_notices.py
@@ -90,6 +90,8 @@
         current = self._observed_backend.instance
         if current is not None and instance != current:
             return
+        if notice.is_leaving:
+            self._observed_backend.reported_leaving()
         if notice.unreadable_limit is not None:
             self._log_unreadable(notice.unreadable_limit, now)
         elif notice.requests_per_second is not None:
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -200,7 +200,9 @@
             randomness=self._randomness,
             log=log,
         )
-        self._hop = PeerHop(self._peer_pool, self.link, self.directory, self.sync, clock, log)
+        self._hop = PeerHop(
+            self._peer_pool, self.link, self.directory, self.sync, backend_wire, clock, log
+        )
         self._link_pacer = LinkPacer(settings.node.link_mbps)
         self._ingress = self._make_ingress(service, caller_wire)
         self._hop_server = HopServer(service, self.link, self.sync, self._link_pacer, clock, log)
--- a/src/hoisthook/mesh/observed_backend.py
+++ b/src/hoisthook/mesh/observed_backend.py
@@ -111,6 +111,7 @@
         self._recent_failures: deque[bool] = deque(maxlen=RECENT_ANSWERS)
         self._dropped_in_a_row = 0
         self._dropped_backoff = INITIAL_DROPPED_BACKOFF_SECONDS
+        self._is_leaving = False
         self.has_answered = False
         self.state = BackendState.UNKNOWN
         self.slots = 0
@@ -162,7 +163,8 @@
             self._current = incarnation
         self._sequence = announcement.sequence
         self.slots = announcement.slots
-        state = BackendState.DRAINING if announcement.draining else BackendState.READY
+        is_draining = announcement.draining or self._is_leaving
+        state = BackendState.DRAINING if is_draining else BackendState.READY
         self._set_state(state, sequence=announcement.sequence)
         return True
 
@@ -191,6 +193,16 @@
             self._replace(known, "answered")
             self._set_state(state)
 
+    def reported_leaving(self) -> None:
+        """Set a backend server whose answers say that it leaves to draining, for good.
+
+        It may go on announcing that it is ready, and no answer will tell otherwise once it is sent
+        nothing; only another incarnation takes work again.
+        """
+        self._is_leaving = True
+        if self.takes_work:
+            self._set_state(BackendState.DRAINING, leaving=True)
+
     def reported_unhealthy(self) -> None:
         """Set an unhealthy backend server to draining while its state is unknown."""
         if self.state is BackendState.UNKNOWN:
@@ -232,6 +244,8 @@
             self._record_former(before, self.state)
         self._former_by_instance.pop(incarnation.instance, None)
         self._current = incarnation
+        # What was reported before any incarnation was known was reported by this one.
+        self._is_leaving = self._is_leaving and before is None
         self._sequence = -1
         self._recent_failures.clear()
         self._dropped_in_a_row = 0
--- a/src/hoisthook/mesh/peer_hop.py
+++ b/src/hoisthook/mesh/peer_hop.py
@@ -37,12 +37,16 @@
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.mesh.peer_sync import PeerSync
     from hoisthook.mesh.routed_call import RoutedCall
+    from hoisthook.port.backend_wire import BackendWire
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
 
 # Instances are a few milliseconds apart; one that takes longer is down or partitioned.
 CONNECT_SECONDS = 0.1
 DEFAULT_RETRY_SECONDS = 0.05
+# A node whose backend server has said that it leaves is asked again after this time, when it either
+# refuses or has another backend server.
+LEAVING_SECONDS = 1.0
 _CLOSING_CODES = frozenset(
     {
         ResultCode.BACKEND_SERVER_DRAINING,
@@ -76,6 +80,8 @@
         Known nodes; notified of those that are unreachable or serve something else by now.
     sync : PeerSync
         Provides the configuration version that is sent to other nodes, and receives theirs.
+    wire : BackendWire
+        Decodes what backend servers say about themselves in answers.
     clock : Clock
         Monotonic clock of the event loop.
     log : EventLog
@@ -93,6 +99,7 @@
         local_backend: BackendLink,
         directory: PeerDirectory,
         sync: PeerSync,
+        wire: BackendWire,
         clock: Clock,
         log: EventLog,
     ) -> None:
@@ -101,6 +108,7 @@
         self._local_backend = local_backend
         self._directory = directory
         self._sync = sync
+        self._wire = wire
         self._clock = clock
         self._log = log
         self._probes = BackgroundTasks()
@@ -153,6 +161,8 @@
         now = self._clock.now()
         if isinstance(outcome, CompleteAnswer):
             view.served()
+            if self._wire.read_notice(outcome.headers).is_leaving:
+                view.close_until(now + LEAVING_SECONDS)
         elif isinstance(outcome, Refused) and outcome.code is ResultCode.UNREACHABLE:
             view.backend_server_unavailable(outcome.retry_after, now)
         elif isinstance(outcome, Refused) and outcome.code in _CLOSING_CODES:
--- a/tests/admission/test_cold_limit.py
+++ b/tests/admission/test_cold_limit.py
@@ -9,6 +9,7 @@
 
 from hoisthook.admission.cold_limit import WINDOW_SECONDS
 from hoisthook.admission.cold_limit import ColdLimit
+from hoisthook.admission.send_log import SendLog
 
 LIMIT = 5
 NOW = 100.0
@@ -16,15 +17,15 @@
 
 def cold_limit(limit: int | None = LIMIT) -> ColdLimit:
     """Return the limit of a process whose first window is over."""
-    cold = ColdLimit(NOW - 10.0)
+    cold = ColdLimit(NOW - 10.0, SendLog())
     cold.set_rate_limit(limit)
     return cold
 
 
 def send(cold: ColdLimit, now: float, count: int = 1) -> None:
     for _ in range(count):
-        cold.reserve()
-        cold.sent(now)
+        cold.sends.reserve()
+        cold.sends.sent(now)
 
 
 def test_cold_server_gets_no_more_than_its_bound_in_any_second() -> None:
@@ -55,7 +56,7 @@
 
 
 def test_first_second_of_a_process_counts_as_full() -> None:
-    cold = ColdLimit(NOW)
+    cold = ColdLimit(NOW, SendLog())
     cold.set_rate_limit(LIMIT)
     cold.observed(3.0, NOW, NOW)
     assert cold.available(NOW + 0.5) == 0
@@ -65,14 +66,14 @@
 
 def test_first_second_is_free_where_the_server_turned_cold_after_the_predecessors_end() -> None:
     """This happens after a restart of all instances with their backend servers."""
-    cold = ColdLimit(NOW)
+    cold = ColdLimit(NOW, SendLog())
     cold.set_rate_limit(LIMIT, 3.0)
     cold.observed(2.9, NOW + 0.05, NOW + 0.06)
     assert cold.available(NOW + 0.1) == LIMIT
 
 
 def test_first_second_is_full_where_it_turned_cold_before() -> None:
-    cold = ColdLimit(NOW)
+    cold = ColdLimit(NOW, SendLog())
     cold.set_rate_limit(LIMIT, 3.0)
     cold.observed(2.5, NOW + 0.05, NOW + 0.06)
     assert cold.available(NOW + 0.1) == 0
@@ -85,11 +86,11 @@
     cold = cold_limit()
     cold.observed(3.0, NOW, NOW)
     for _ in range(LIMIT):
-        cold.reserve()
+        cold.sends.reserve()
     assert cold.available(NOW) == 0
-    cold.release()
+    cold.sends.release()
     assert cold.available(NOW) == 1
-    cold.sent(NOW + 5.0)
+    cold.sends.sent(NOW + 5.0)
     # A request that is sent late counts from then on.
     assert cold.available(NOW + 5.0 + 0.5) == 1
 
