--- a/src/hoisthook/experiment/load_pattern.py
+++ b/src/hoisthook/experiment/load_pattern.py
@@ -40,6 +40,9 @@
     SILENT = "silent"
     """Nodes are unresponsive; requests sent to them meanwhile arrive when the disruption ends."""
 
+    LIMITED = "limited"
+    """Servers name a limit of ``strength`` requests per second in their answers."""
+
     NODE_STARTS = "node_starts"
     """Nodes restart without state; until it ends they know only nodes of their data centre."""
 
--- a/src/hoisthook/experiment/modelled_node.py
+++ b/src/hoisthook/experiment/modelled_node.py
@@ -132,7 +132,8 @@
     def load(self) -> NodeLoad:
         """Return the load that the node reports to its peers."""
         gate = self.admitter.gate
-        return NodeLoad(gate.running, gate.waiting, gate.limit, self._speed.slowdown, 0.0)
+        running = gate.limit if gate.is_rate_used_up else gate.running
+        return NodeLoad(running, gate.waiting, gate.limit, self._speed.slowdown, 0.0)
 
     async def run(self, call: RoutedCall, admission: Admission) -> Outcome:
         """Admit a request and execute it at the backend server, in the steps of a real node."""
@@ -167,6 +168,7 @@
             running = RunningRequest(call.request_id, call.route, call.priority, call.repeat)
             running_requests = self.running
             running_requests.begin(running)
+            self.admitter.sent(admitted_request)
             try:
                 result = await self._execute(call)
             finally:
@@ -174,6 +176,7 @@
             if result is ExecutionResult.DONE:
                 self.admitter.record_completed(admitted_request, self._clock.now() - started)
             self._speed.slow_periods.reported(self.server.slowdown(), self._clock.now())
+            self._apply_rate_limit()
         finally:
             self.admitter.leave(admitted_request)
         match result:
@@ -186,6 +189,14 @@
             case ExecutionResult.LOST:
                 return Lost(ResultCode.ANSWER_LOST)
 
+    def _apply_rate_limit(self) -> None:
+        """Apply the limit that an answer names."""
+        limit = self.server.rate_limit()
+        if limit is None:
+            self.admitter.gate.rate.ended()
+        else:
+            self.admitter.gate.rate.named(limit)
+
     async def _execute(self, call: RoutedCall) -> ExecutionResult:
         route = self._system.route_by_name[call.route]
         is_repeat = self._system.record_arrival(call)
--- a/src/hoisthook/experiment/modelled_server.py
+++ b/src/hoisthook/experiment/modelled_server.py
@@ -60,6 +60,7 @@
         self._is_slow = False
         self.running = 0
         self.runs = 0
+        self.arrived_at: list[float] = []
 
     @property
     def slots(self) -> int:
@@ -88,8 +89,14 @@
         silent = self._active_disruption(DisruptionKind.SILENT)
         return silent.at + silent.lasts if silent is not None else 0.0
 
+    def rate_limit(self) -> float | None:
+        """Return the limit in requests per second that its answers name; None for none."""
+        limited = self._active_disruption(DisruptionKind.LIMITED)
+        return None if limited is None else limited.strength
+
     async def run(self, route: RouteTraits) -> ExecutionResult:
         """Queue and execute a request, or shed it."""
+        self.arrived_at.append(self._clock.now())
         sheds = self._active_disruption(DisruptionKind.SHEDS)
         if sheds is not None and self._randomness.random() < sheds.strength:
             return ExecutionResult.SHED
--- a/standin/soak.py
+++ b/standin/soak.py
@@ -1,6 +1,7 @@
 """Soak test: runs real nodes under random faults and checks what callers and servers observe.
 
 Usage: python -m standin.soak [--seed N] [--seeds COUNT] [--seconds S] [--crashing] [--rejecting]
+           [--limiting]
 
 Prints one line per seed; the exit status is 1 if a guarantee was violated. Faults are
 injected from outside the nodes: signals, proxies between nodes and in front of the store,
@@ -37,6 +38,7 @@
 from standin.mesh_system import NODES_TOPIC
 from standin.published_configuration import RouteOptions
 from standin.soak_crashes import CrashingCaller
+from standin.soak_limits import LimitingServers
 from standin.soak_load import SoakLoad
 from standin.soak_load import SoakResults
 from standin.soak_repeats import RejectingService
@@ -74,10 +76,18 @@
     rejecting : bool
         Whether, in addition, a service rejects most requests while half of the nodes are killed
         repeatedly.
+    limiting : bool
+        Whether, in addition, backend servers name limits, and leave by their answers.
     """
 
     def __init__(
-        self, seed: int, seconds: float, *, crashing: bool = False, rejecting: bool = False
+        self,
+        seed: int,
+        seconds: float,
+        *,
+        crashing: bool = False,
+        rejecting: bool = False,
+        limiting: bool = False,
     ) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
@@ -91,6 +101,9 @@
         self._crashing: CrashingCaller | None = None
         self._work_seconds = WORK_SECONDS
         self._rejecting: RejectingService | None = None
+        self._limiting: LimitingServers | None = None
+        if limiting:
+            self._limiting = LimitingServers(self.cluster, seed, self.results)
         if rejecting:
             self._rejecting = RejectingService(self.cluster, self._restart_if_down, seed)
         if crashing:
@@ -106,6 +119,8 @@
                 self._crashing.start(self._work_seconds)
             if self._rejecting is not None:
                 self._rejecting.start()
+            if self._limiting is not None:
+                self._limiting.start()
             await asyncio.gather(self._load.run(), self._inject_faults())
             self._check_executions()
             check_repeats(self.cluster, self._load, self.results)
@@ -175,6 +190,8 @@
         await asyncio.gather(*running)
         if self._rejecting is not None:
             await self._rejecting.stop()
+        if self._limiting is not None:
+            await self._limiting.stop()
         self._clear_faults()
         await self._check_recovery()
         self._load.stopped = True
@@ -349,6 +366,11 @@
         action="store_true",
         help="also have a service reject requests while nodes are killed repeatedly",
     )
+    parser.add_argument(
+        "--limiting",
+        action="store_true",
+        help="also have backend servers name limits, and leave by their answers",
+    )
     arguments = parser.parse_args()
     # Raises KeyboardInterrupt on SIGTERM, so that the nodes are stopped then too.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -359,6 +381,7 @@
             arguments.seconds,
             crashing=arguments.crashing,
             rejecting=arguments.rejecting,
+            limiting=arguments.limiting,
         )
         results = asyncio.run(soak.run())
         verdict = "; ".join(results.violations[:5]) or "kept"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 
 
 CRASHING_SEEDS = [1, 2]
+LIMITING_SEEDS = [1, 2]
 REJECTING_SEEDS = [
     1,
     2,
@@ -44,3 +45,12 @@
     results = await Soak(seed, 8.0, rejecting=True).run()
     assert results.violations == []
     assert results.statuses[200] > 0
+
+
+@pytest.mark.parametrize("seed", LIMITING_SEEDS)
+async def test_limits_and_departures_named_in_answers_hold_amid_other_faults(seed: int) -> None:
+    results = await Soak(seed, 6.0, limiting=True).run()
+    assert results.violations == []
+    assert results.statuses[200] > 0
+    assert results.faults["limited"] > 0
+    assert results.faults["left"] > 0
