An announcement alone admits nothing while the health check cannot be read

Cause: the server went on announcing that it is ready; the node had no configuration yet, so that the path of the health check was unknown, and one request was admitted to learn what answers say.

Change: without the path nothing is admitted. Three tests of bodies publish a configuration first; their checks are the same.

--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -271,18 +271,12 @@
             return Refused(ResultCode.NODE_LEAVING, MIN_RETRY_AFTER_SECONDS)
         if self.evacuated:
             return Refused(ResultCode.DATA_CENTRE_EVACUATED, EVACUATED_RETRY_SECONDS)
-        if observed_backend.state is BackendState.UNKNOWN and self.health.path is None:
-            # It may be draining, and the path of its health check is not known yet.
-            return Refused(ResultCode.CONFIGURATION_MISSING, MIN_RETRY_AFTER_SECONDS)
         if not observed_backend.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
         if not observed_backend.has_answered:
-            if observed_backend.state is BackendState.UNKNOWN:
-                return Refused(ResultCode.UNREACHABLE, UNREACHABLE_BACKOFF_SECONDS)
-            if self.gate.running > 0:
-                # Announced as ready, but its health check does not answer: the first request shows
-                # what its answers say.
-                return Refused(ResultCode.SLOTS_FULL, MIN_RETRY_AFTER_SECONDS)
+            refused = self._refuse_unheard()
+            if refused is not None:
+                return refused
         if now < observed_backend.unavailable_until:
             return Refused(ResultCode.UNREACHABLE, observed_backend.unavailable_until - now)
         if call.time_left(now) <= 0:
@@ -292,6 +286,21 @@
             return refused
         return _refusal(self._admitter.decide_admission(demand, may_wait=may_wait))
 
+    def _refuse_unheard(self) -> Refused | None:
+        """Return a refusal while the backend server has not answered this process yet.
+
+        It may be leaving, or name a limit, and the node's predecessor may have been told so.
+        """
+        if self.health.path is None:
+            return Refused(ResultCode.CONFIGURATION_MISSING, MIN_RETRY_AFTER_SECONDS)
+        if self.observed_backend.state is BackendState.UNKNOWN:
+            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_BACKOFF_SECONDS)
+        if self.gate.running > 0:
+            # Announced as ready, but its health check does not answer: the first request shows what
+            # its answers say.
+            return Refused(ResultCode.SLOTS_FULL, MIN_RETRY_AFTER_SECONDS)
+        return None
+
     def _refuse_before_sending(self, call: RoutedCall) -> Refused | None:
         """Return a refusal for an admitted request that must no longer be sent.
 
--- a/tests/mesh/test_admission.py
+++ b/tests/mesh/test_admission.py
@@ -270,6 +270,8 @@
 ) -> None:
     ingress = await system.add("front")
     server = await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
     reader, writer = await asyncio.open_connection(*server.node.peers_address)
     writer.write(
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
@@ -292,6 +294,8 @@
 ) -> None:
     monkeypatch.setattr("hoisthook.mesh.hop_server.PIECE_SECONDS", 0.01)
     server = await system.add("shop")
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
     reader, writer = await asyncio.open_connection(*server.node.peers_address)
     writer.write(
         b"POST /x HTTP/1.1\r\nhost: a.example\r\nx-request-id: q\r\nexpect: 100-continue\r\n"
@@ -307,6 +311,8 @@
 
 async def test_connection_of_a_refused_request_carries_the_next_one(system: MeshSystem) -> None:
     server = await system.add("shop", slots=1)
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
     slot = await server.node.link.gate.enter(Demand(0, 1e9, 1e9, 0.1))
     assert slot is not None
     reader, writer = await asyncio.open_connection(*server.node.peers_address)
--- a/tests/mesh/test_configuration_watch.py
+++ b/tests/mesh/test_configuration_watch.py
@@ -137,9 +137,13 @@
     # On the platform, the port for peers is the same on all instances.
     server.node.sync.peer_port = ingress.node.peers_address[1]
     ingress.node.directory.merge([server.node.directory.me], "test")
+    # Without a configuration the server's node cannot read its health, and admits nothing yet.
+    status, headers, _ = await system.call(ingress)
+    assert status == 503
+    assert float(headers[b"retry-after"]) < 0.1
+    await asyncio.wait_for(system.until_configured(1), 3.0)
     status, _, _ = await system.call(ingress)
     assert status == 200
-    await asyncio.wait_for(system.until_configured(1), 3.0)
 
 
 async def test_node_behind_a_peer_polls_it_although_the_store_seems_available(
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -341,5 +341,12 @@
     assert isinstance(outcome, Refused)
     assert outcome.code is ResultCode.CONFIGURATION_MISSING
     assert shop.backend.arrivals == []
+    # Announced as ready, but its answers may say that it leaves.
     assert await shop.send_heartbeat() == 200
+    outcome = await shop.node.link.run(call, Admission.DIRECT)
+    assert isinstance(outcome, Refused)
+    assert outcome.code is ResultCode.CONFIGURATION_MISSING
+    assert shop.backend.arrivals == []
+    system.publish(1, RouteOptions("shop"))
+    await system.until_configured(1)
     assert isinstance(await shop.node.link.run(call, Admission.DIRECT), CompleteAnswer)
