--- a/src/hoisthook/mesh/peer_sync.py
+++ b/src/hoisthook/mesh/peer_sync.py
@@ -13,6 +13,7 @@
 from hoisthook.mesh.buffered_exchange import exchange_buffered
 from hoisthook.mesh.peer_message import log_unreadable
 from hoisthook.mesh.peer_message import read_message
+from hoisthook.mesh.poll_progress import PollProgress
 from hoisthook.mesh.sync_messages import SyncReply
 from hoisthook.mesh.sync_messages import SyncRequest
 from hoisthook.mesh.sync_messages import decode_message
@@ -26,7 +27,6 @@
     from collections.abc import Callable
 
     from hoisthook.adapter.http.client_pool import ClientPool
-    from hoisthook.adapter.http.message import AnswerHead
     from hoisthook.adapter.http.server_exchange import ServerExchange
     from hoisthook.identity import Address
     from hoisthook.membership.store_era import StoreEra
@@ -70,27 +70,6 @@
     suspicions: int = 0
 
 
-class PollProgress:
-    """How far a poll has proceeded.
-
-    Attributes
-    ----------
-    connected : asyncio.Event
-        Set once the peer has accepted the connection.
-    answering : asyncio.Event
-        Set once the peer's answer has begun to arrive.
-    """
-
-    def __init__(self) -> None:
-        self.connected = asyncio.Event()
-        self.answering = asyncio.Event()
-
-    def answer_begins(self, head: AnswerHead) -> bool:
-        """Record the head of the answer; any answer belongs to the poll."""
-        self.answering.set()
-        return True
-
-
 class PeerSync:
     """Polls other nodes and answers their polls; polls random peers while the store is unavailable.
 
--- a/src/hoisthook/mesh/reader_polls.py
+++ b/src/hoisthook/mesh/reader_polls.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from hoisthook.mesh.peer_sync import PollProgress
+from hoisthook.mesh.poll_progress import PollProgress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -181,10 +181,10 @@
     async def _refresh(self, readers: list[PeerView]) -> None:
         """Poll all readers at once on new connections, and doubt those that are out of date."""
         self._refreshes += 1
-        age = self._clock.now() - self._freshness.stale_at + self._freshness.stale_seconds
+        age = self._freshness.age(self._clock.now())
         self._log.event(
             "configuration_stale",
-            age=round(age, 2) if age < math.inf else None,
+            age=None if age is None else round(age, 2),
             have=self._holder.version,
             polled=[reader.peer.node for reader in readers],
         )
--- a/src/hoisthook/traffic/configuration_freshness.py
+++ b/src/hoisthook/traffic/configuration_freshness.py
@@ -61,5 +61,9 @@
         """Return from when on the configuration may be out of date."""
         return self._age.as_of + self.stale_seconds
 
+    def age(self, now: float) -> float | None:
+        """Return the seconds since the configuration was known to be the newest."""
+        return self._age.seconds(now)
+
     def _draw_spread(self) -> None:
         self._spread = 1.0 + CHECK_SPREAD * self._randomness.random()
