A reply of a node that has read nothing confirms nothing

What a node believed: a reader that has just started and has not read the store yet reports no age, as nodes of older versions do, and its reply counted as a confirmation, so that a dead connection was found up to 1.2 s later.

Such a node reports an infinite age now; only older versions report none. Found by reading the diff; test_reply_of_a_node_that_has_read_nothing_confirms_nothing failed before.

--- a/src/hoisthook/mesh/sync_messages.py
+++ b/src/hoisthook/mesh/sync_messages.py
@@ -159,7 +159,7 @@
         Seconds for which it still keeps evacuations that a regressed store may have lost.
     age : float or None
         Seconds, at the time of the reply, since its configuration was known to be the newest
-        published; None from older nodes, which do not report it, and before the first.
+        published, infinite if it never was; None from older nodes, which do not report it.
     held : float
         Seconds for which it held the request before it replied.
     """
--- a/src/hoisthook/mesh/sync_responder.py
+++ b/src/hoisthook/mesh/sync_responder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from hoisthook.membership.suspicion import SuspicionTable
@@ -114,6 +115,7 @@
     ) -> SyncReply:
         """Return the reply, with all changes that the requester has not received."""
         now = self._clock.now()
+        age = self._age.seconds(now)
         suspected, cleared = self._suspicions_for(request)
         return SyncReply(
             self._changed_peers_for(request),
@@ -129,7 +131,7 @@
             confirmed=self._lease.age(now),
             era=self._era.current,
             grace=grace,
-            age=self._age.seconds(now),
+            age=math.inf if age is None else age,
             held=held,
         )
 
--- a/tests/mesh/test_configuration_age.py
+++ b/tests/mesh/test_configuration_age.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from hoisthook.identity import parse_address
 from hoisthook.mesh import configuration_watch
 from hoisthook.mesh.sync_messages import SyncReply
+from standin.mesh_store import Outage
 from standin.published_configuration import RouteOptions
 from tests.waiting import until
 
@@ -52,3 +54,14 @@
     fields = msgspec.to_builtins(SyncReply())
     assert "age" not in fields
     assert msgspec.convert(fields, SyncReply).age is None
+
+
+async def test_reply_of_a_node_that_has_read_nothing_confirms_nothing(system: MeshSystem) -> None:
+    """Guards against a reader that has just started and is taken for one of an older version."""
+    asking = await system.add("shop")
+    system.store.outage = Outage.SILENT
+    started = await system.add("shop")
+    as_of = asking.node._configuration_age.as_of
+    address = parse_address(started.node.directory.me.address)
+    assert await asking.node.sync.poll(address) is not None
+    assert asking.node._configuration_age.as_of == as_of
