--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/python -m standin.run
 
 platform: install
-	PYTHONPATH=src:platform $(BIN)/python -m standin.mesh_run
+	PYTHONPATH=src:platform $(BIN)/python -m standin.mesh_run $(PLATFORM_ARGS)
 
 soak: install
 	PYTHONPATH=src:platform $(BIN)/python -m standin.soak --seeds 5
