--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -274,7 +274,7 @@
         if not observed_backend.takes_work:
             return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
         if not observed_backend.has_answered:
-            refused = self._refuse_unheard()
+            refused = self._refuse_before_first_answer()
             if refused is not None:
                 return refused
         if now < observed_backend.unavailable_until:
@@ -286,7 +286,7 @@
             return refused
         return _refusal(self._admitter.decide_admission(demand, may_wait=may_wait))
 
-    def _refuse_unheard(self) -> Refused | None:
+    def _refuse_before_first_answer(self) -> Refused | None:
         """Return a refusal while the backend server has not answered this process yet.
 
         It may be leaving, or name a limit, and the node's predecessor may have been told so.
--- a/src/hoisthook/mesh/reader_polls.py
+++ b/src/hoisthook/mesh/reader_polls.py
@@ -179,7 +179,7 @@
             poll.cancel()
 
     async def _refresh(self, readers: list[PeerView]) -> None:
-        """Poll all readers at once on new connections, and doubt those that are out of date."""
+        """Poll all readers at once on new connections, and exclude those that are out of date."""
         self._refreshes += 1
         age = self._freshness.age(self._clock.now())
         self._log.event(
--- a/src/hoisthook/traffic/configuration_freshness.py
+++ b/src/hoisthook/traffic/configuration_freshness.py
@@ -11,7 +11,7 @@
 
 # Shares of the time within which a change must be in force. A reader verifies its configuration at
 # CHECK_SHARE, up to CHECK_SPREAD of that later, so that of several readers usually one does and the
-# others learn of it. At STALE_SHARE a node that polls readers doubts them; the rest of the time
+# others learn of it. At STALE_SHARE a node that polls readers replaces them; the rest of the time
 # suffices to poll others twice and then to read the store.
 CHECK_SHARE = 0.4
 CHECK_SPREAD = 0.2
