Review, case 1: play each of the two disruptions alone

The stand-ins take ports below the range of outgoing connections: a node of a run found its port taken and didn't start.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -36,6 +36,8 @@
 LATE_SECONDS = 3.0
 # How long the server goes on after its acknowledgement ("at times many seconds").
 SERVES_SECONDS = 12.0
+# Values of TROUBLE besides 0: only one of the two disruptions, or both.
+LATE, KILL, BOTH = "late", "kill", "1"
 
 
 class Clients:
@@ -87,11 +89,11 @@
 
 
 async def leave(
-    leaving: Backend, machine: Machine, platform: Platform, *, trouble: bool
+    leaving: Backend, machine: Machine, platform: Platform, trouble: str
 ) -> tuple[float, float]:
     """Let a server leave; return when that was acknowledged, and when its node is in touch."""
     # Sent while the server was ready; without the disruption it arrives at once.
-    if trouble:
+    if trouble in (LATE, BOTH):
         leaving.heartbeat_late(LATE_SECONDS)
     else:
         await leaving.heartbeat()
@@ -100,14 +102,14 @@
         raise CannotRunError("the deregistration was not acknowledged")
     acked_at = time.monotonic()
     await asyncio.sleep(0.3)
-    if trouble:
+    if trouble in (KILL, BOTH):
         await platform.kill(machine)
         await platform.restart(machine)
         await platform.until_ready(machine)
     return acked_at, machine.started_at + STABLE_SECONDS
 
 
-async def play(platform: Platform, store: Store, record: Record, *, trouble: bool) -> bool:
+async def play(platform: Platform, store: Store, record: Record, trouble: str) -> bool:
     """Play the case; return whether the rule held."""
     fronts = [platform.add(f"front-{zone}", FRONT, zone) for zone in ZONES]
     desks = [platform.add(f"desk-{zone}", DESK, zone) for zone in ZONES]
@@ -132,7 +134,7 @@
     clients = Clients(fronts, record)
     traffic = asyncio.create_task(clients.run(20.0))
     await asyncio.sleep(2.0)
-    acked_at, in_touch_at = await leave(leaving, machine, platform, trouble=trouble)
+    acked_at, in_touch_at = await leave(leaving, machine, platform, trouble)
     await asyncio.sleep(max(0.0, acked_at + SERVES_SECONDS - time.monotonic()))
     leaving.exit()
     await traffic
@@ -167,14 +169,14 @@
 
 async def main() -> int:
     """Play the case; return 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    trouble = os.environ.get("TROUBLE") != "0"
+    trouble = os.environ.get("TROUBLE", BOTH)
     record = Record(FOLDER / "record.txt")
     store = Store(free_ports(1)[0])
     platform = Platform(store.port, record)
     try:
         async with asyncio.timeout(100):
             await store.start()
-            held = await play(platform, store, record, trouble=trouble)
+            held = await play(platform, store, record, trouble)
     except (CannotRunError, OSError, TimeoutError) as error:
         record.say(f"could not run: {error!r}")
         return 2
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import shutil
 import signal
 import socket
 import tempfile
@@ -29,6 +30,8 @@
 RESTART_SECONDS = 0.5
 READY_SECONDS = 30.0
 ROLE = "node"
+FIRST_PORT, LAST_PORT = 12_000, 30_000
+_PORTS = iter(range(FIRST_PORT + os.getpid() * 97 % 15_000, LAST_PORT))
 BOUNDS = {
     "stableWindowS": 3,
     "drainS": 2,
@@ -46,17 +49,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of the loopback address that nothing listens on."""
-    sockets = []
-    try:
-        for _ in range(count):
-            probe = socket.socket()
-            probe.bind((HOST, 0))
-            sockets.append(probe)
-        return [probe.getsockname()[1] for probe in sockets]
-    finally:
-        for probe in sockets:
-            probe.close()
+    """Return ports of the loopback address that nothing listens on.
+
+    They lie below the range that the system assigns to outgoing connections, and none is returned
+    twice.
+    """
+    found: list[int] = []
+    for port in _PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise CannotRunError("no free ports")
 
 
 @dataclass
@@ -197,6 +205,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     machine.process.kill()
                 await machine.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def _fields(self, machine: Machine) -> dict[str, Any]:
         return {
