--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -122,6 +122,10 @@
         self._role = deploy["roles"][ROLE]
         self._template = (ROOT / self._role["template"]).read_text()
         self._watches: list[asyncio.Task[None]] = []
+        # A script that is told to stop ends its processes too.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
 
     def add(self, name: str, service: str, zone: str) -> Machine:
         """Add a machine whose node is not started yet."""
