--- a/review/1/run.py
+++ b/review/1/run.py
@@ -4,28 +4,29 @@
 
 import asyncio
 import json
-import os
 import sys
 import time
 from pathlib import Path
+from typing import TYPE_CHECKING
+
+from common.backend import Backend
+from common.platform import BOUNDS
+from common.platform import LIMITS
+from common.platform import CannotRunError
+from common.platform import Machine
+from common.platform import Platform
+from common.platform import route
+from common.platform import service_spec
+from common.script import TROUBLE
+from common.script import run
+from common.wire import call_once
+from common.wire import encode_request
+
+if TYPE_CHECKING:
+    from common.record import Record
+    from common.store import Store
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
-
-from common.backend import Backend  # noqa: E402
-from common.platform import BOUNDS  # noqa: E402
-from common.platform import LIMITS  # noqa: E402
-from common.platform import CannotRunError  # noqa: E402
-from common.platform import Machine  # noqa: E402
-from common.platform import Platform  # noqa: E402
-from common.platform import free_ports  # noqa: E402
-from common.platform import route  # noqa: E402
-from common.platform import service_spec  # noqa: E402
-from common.record import Record  # noqa: E402
-from common.store import Store  # noqa: E402
-from common.wire import call_once  # noqa: E402
-from common.wire import encode_request  # noqa: E402
-
 ZONES = ("salt-lake-hall", "howrah-hall", "barasat-hall")
 FRONT, DESK = "callout-hub", "signon-desk"
 TIMEOUT = 1.0
@@ -37,7 +38,7 @@
 # How long the server goes on after its acknowledgement ("at times many seconds").
 SERVES_SECONDS = 12.0
 # Values of TROUBLE besides 0: only one of the two disruptions, or both.
-LATE, KILL, BOTH = "late", "kill", "1"
+LATE, KILL, BOTH = "late", "kill", TROUBLE
 
 
 class Clients:
@@ -167,25 +168,5 @@
     return not late
 
 
-async def main() -> int:
-    """Play the case; return 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    trouble = os.environ.get("TROUBLE", BOTH)
-    record = Record(FOLDER / "record.txt")
-    store = Store(free_ports(1)[0])
-    platform = Platform(store.port, record)
-    try:
-        async with asyncio.timeout(100):
-            await store.start()
-            held = await play(platform, store, record, trouble)
-    except (CannotRunError, OSError, TimeoutError) as error:
-        record.say(f"could not run: {error!r}")
-        return 2
-    finally:
-        await platform.close()
-        store.close()
-    record.say("the rule held" if held else "the rule DRAIN was broken")
-    return 0 if held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run(FOLDER, "DRAIN", play))
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")" && exec python3 run.py
+cd "$(dirname "$0")" && PYTHONPATH=.. exec python3 run.py
