--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -66,10 +66,22 @@
     ----------
     record : Record
         Receives what happens.
+    bounds : dict, optional
+        Bounds beyond those of the site sevaroster-kol.
+    tenants : list of dict, optional
+        Tenants in the configuration.
     """
 
-    def __init__(self, record: Record) -> None:
+    def __init__(
+        self,
+        record: Record,
+        *,
+        bounds: dict[str, object] | None = None,
+        tenants: list[dict[str, object]] | None = None,
+    ) -> None:
         self.record = record
+        self.tenants = tenants or []
+        self._bounds: dict[str, object] = {**BOUNDS, **(bounds or {})}
         self.store = StoreStandin()
         self.machines: list[Machine] = []
         self.store_address = ""
@@ -139,6 +151,10 @@
                 resources.append({"type": "routes", "metadata": metadata, "spec": spec})
             traits = {"healthPath": "/healthz", "maxConnections": 220, "protocol": "h1"}
             resources.append({"type": "services", "metadata": {"name": service}, "spec": traits})
+        for tenant in self.tenants:
+            spec = {name: value for name, value in tenant.items() if name != "name"}
+            metadata = {"name": str(tenant["name"])}
+            resources.append({"type": "tenants", "metadata": metadata, "spec": spec})
         limits = {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 67108864,
@@ -167,7 +183,7 @@
                 "control": machine.control,
             },
             "platform": {"address": self.store_address},
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
         }
         text = _render((ROOT / self._deploy["template"]).read_text(), fields)
         # All machines of this deployment have one address, and the port of the metrics is fixed.
--- a/review/second/server.py
+++ b/review/second/server.py
@@ -68,11 +68,12 @@
         self._heartbeats: asyncio.Task[None] | None = None
         self._server: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        """Listen, and begin with the heartbeats."""
+    async def start(self, *, sends_heartbeats: bool = True) -> None:
+        """Listen, and begin with the heartbeats unless the caller delivers them."""
         host, _, port = self.address.rpartition(":")
         self._server = await asyncio.start_server(self._serve, host, int(port))
-        self._heartbeats = asyncio.get_running_loop().create_task(self._send_heartbeats())
+        if sends_heartbeats:
+            self._heartbeats = asyncio.get_running_loop().create_task(self._send_heartbeats())
         self._record.line(f"server {self.instance} ({self.service}) starts at {self.address}")
 
     def crash(self) -> None:
