--- a/review/4/run.py
+++ b/review/4/run.py
@@ -20,6 +20,8 @@
 REQUESTS_PER_SECOND = 25.0
 ZONES = ("kaolack", "fatick", "kaffrine")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Without it the node's settings stay as they were, for comparison.
+SETTINGS_FOLLOW = os.environ.get("SETTINGS_FOLLOW", "1") != "0"
 
 
 async def send_requests(deployment: Deployment, seconds: float) -> None:
@@ -60,9 +62,10 @@
         await calm
         # The platform gives the address to a server of another service, writes that into the
         # settings of the node there and says so.
-        machine.service = "antennes"
-        deployment.write_settings(machine)
-        deployment.signal(machine, signal.SIGHUP)
+        if SETTINGS_FOLLOW:
+            machine.service = "antennes"
+            deployment.write_settings(machine)
+            deployment.signal(machine, signal.SIGHUP)
         successor = BackendServer(
             "antennes", "i-9001", machine.app, machine.control, machine.zone, record
         )
