--- a/review/4/run.py
+++ b/review/4/run.py
@@ -8,12 +8,15 @@
 import signal
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
+from review.second.case import run_case
 from review.second.client import send
-from review.second.deployment import Deployment
-from review.second.record import Record
 from review.second.server import BackendServer
 
+if TYPE_CHECKING:
+    from review.second.deployment import Deployment
+
 REUSE_AFTER_SECONDS = 2.0
 CALM_SECONDS = 4.0
 AFTER_SECONDS = 8.0
@@ -89,24 +92,14 @@
     return len(foreign)
 
 
-async def main() -> int:
-    """Run the case; return the exit status."""
-    record = Record(Path(__file__).resolve().parent / "record.txt")
-    deployment = Deployment(record)
-    try:
-        foreign = await play(deployment)
-        for line in deployment.log_lines(
-            deployment.machines[0], "backend_instance", "announcement_unreadable", "settings_read"
-        ):
-            record.line(line)
-    except (OSError, TimeoutError, EOFError) as error:
-        record.say(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        await deployment.close()
-    record.say("ROUTE is broken" if foreign else "ROUTE holds")
-    return 1 if foreign else 0
-
-
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(
+        run_case(
+            Path(__file__).resolve().parent,
+            "ROUTE",
+            play,
+            "backend_instance",
+            "announcement_unreadable",
+            "settings_read",
+        )
+    )
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,8 +5,9 @@
 set -e
 cd "$(dirname "$0")/.."
 export PYTHONPATH=target/deps:src:.
-python3 -m compileall -q review/second review/4 review/5 review/6 standin || true
+python3 -m compileall -q review/second review/4 review/5 standin
 python3 -c "
+import review.second.case
 import review.second.client
 import review.second.deployment
 import review.second.record
--- a/review/second/client.py
+++ b/review/second/client.py
@@ -35,7 +35,6 @@
     method: str = "GET",
     body: bytes = b"",
     deadline_ms: int = 1000,
-    key: str | None = None,
 ) -> Answer:
     """Send a request to a node and return the answer."""
     request_id = f"q{next(_numbers):05d}"
@@ -51,8 +50,6 @@
                     "X-Deadline-Ms": str(deadline_ms),
                     "Connection": "close",
                 }
-                if key is not None:
-                    headers["Authorization"] = f"Bearer {key}"
                 writer.write(encode(f"{method} {path} HTTP/1.1", headers, body))
                 message = await read_message(reader)
             finally:
--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -28,7 +28,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 ROLE = "node"
 READY_SECONDS = 30.0
-# The bounds of the site sevaroster-kol.
+# Those of the sites to-portail and sevaroster-kol.
 BOUNDS = {
     "drainS": 2,
     "graceS": 6,
@@ -66,22 +66,10 @@
     ----------
     record : Record
         Receives what happens.
-    bounds : dict, optional
-        Bounds beyond those of the site sevaroster-kol.
-    tenants : list of dict, optional
-        Tenants in the configuration.
     """
 
-    def __init__(
-        self,
-        record: Record,
-        *,
-        bounds: dict[str, object] | None = None,
-        tenants: list[dict[str, object]] | None = None,
-    ) -> None:
+    def __init__(self, record: Record) -> None:
         self.record = record
-        self.tenants = tenants or []
-        self._bounds: dict[str, object] = {**BOUNDS, **(bounds or {})}
         self.store = StoreStandin()
         self.machines: list[Machine] = []
         self.store_address = ""
@@ -151,10 +139,6 @@
                 resources.append({"type": "routes", "metadata": metadata, "spec": spec})
             traits = {"healthPath": "/healthz", "maxConnections": 220, "protocol": "h1"}
             resources.append({"type": "services", "metadata": {"name": service}, "spec": traits})
-        for tenant in self.tenants:
-            spec = {name: value for name, value in tenant.items() if name != "name"}
-            metadata = {"name": str(tenant["name"])}
-            resources.append({"type": "tenants", "metadata": metadata, "spec": spec})
         limits = {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 67108864,
@@ -183,7 +167,7 @@
                 "control": machine.control,
             },
             "platform": {"address": self.store_address},
-            "bounds": self._bounds,
+            "bounds": BOUNDS,
         }
         text = _render((ROOT / self._deploy["template"]).read_text(), fields)
         # All machines of this deployment have one address, and the port of the metrics is fixed.
