Work goes only to an incarnation that is known to be of this service

Cause: two facts were taken for one. Which incarnation runs at the address is shown by answers (421, health check); which service it belongs to was known from announcements only, and nothing joined the two. `ObservedBackend.answered_as` made any incarnation that answers ready, so that the next requests named it in the expectation that is to guard against this.

Change: `ServiceEvidence` keeps what shows the service of an incarnation: its own announcement, or an answer before the address of its predecessor can have been assigned to another service. The second is measured from the sending of the last exchange that the predecessor executed, on a clock that counts a suspension of the machine; without the bound in the settings it never holds. An incarnation without evidence is `unidentified`, one that names another service `foreign`; neither gets requests, which are refused at once as not run. The check is repeated right before a request is sent, and a request is never sent without the name of an incarnation. An answer in transit no longer brings a former incarnation back. The log line names both kinds of evidence and their ages.

`test_replaced_incarnation_is_learned_...` in test_path.py now states the platform's bound on the reuse of addresses: without it, the answer of an unknown incarnation shows no service, and running the request there was the fault.

--- a/src/hoisthook/local_backend/backend_exchange.py
+++ b/src/hoisthook/local_backend/backend_exchange.py
@@ -40,6 +40,7 @@
     from hoisthook.port.clock import Clock
     from hoisthook.port.event_log import EventLog
 
+FIRST_ERROR_STATUS = 400
 FAILURE_STATUS = 500
 # A connection that breaks within this share of the expected service time was dropped before the
 # backend server worked on the request.
@@ -156,6 +157,7 @@
             return ExchangeResult(Refused(ResultCode.DEADLINE_PASSED, 0.0))
         sent()
         instance = self._observed_backend.instance
+        sent_at = self._observed_backend.evidence.now()
         answer = await self._exchange(call, connection, time_left)
         seconds = self._clock.now() - started
         if isinstance(answer, Lost):
@@ -167,6 +169,9 @@
         head, body = answer
         self._observed_backend.has_answered = True
         reading = self._wire.read(head)
+        answered_by = _answered_by(reading, head.status, instance)
+        if answered_by is not None:
+            self._observed_backend.answered_as(answered_by, sent_at)
         outcome = self._read_answer(call, reading, head.status, body)
         if reading.kind is not AnswerKind.SPOILED:
             self._notices.apply(
@@ -253,8 +258,6 @@
             self._speed.slow_periods.reported(reading.load.slowdown, self._clock.now())
         match reading.kind:
             case AnswerKind.OTHER_INSTANCE:
-                if reading.instance is not None:
-                    self._observed_backend.answered_as(reading.instance)
                 return Refused(ResultCode.BACKEND_SERVER_REPLACED, REPLACED_RETRY_SECONDS)
             case AnswerKind.NOT_RUN:
                 return Refused(ResultCode.BACKEND_SERVER_SHED, 0.0)
@@ -267,3 +270,17 @@
             case AnswerKind.OWN:
                 self._observed_backend.answered(failed=status >= FAILURE_STATUS)
                 return CompleteAnswer(status, reading.headers, body)
+
+
+def _answered_by(
+    reading: DecodedAnswerHead, status: int, expected: InstanceId | None
+) -> InstanceId | None:
+    """Return the incarnation that gave an answer; None if the answer does not show it.
+
+    Only the expected incarnation executes a request. Any other may reject it for lack of slots as
+    well as for the name.
+    """
+    if reading.kind is AnswerKind.SPOILED:
+        return None
+    has_executed = reading.kind is AnswerKind.OWN and status < FIRST_ERROR_STATUS
+    return reading.instance or (expected if has_executed else None)
--- a/src/hoisthook/local_backend/link_settings.py
+++ b/src/hoisthook/local_backend/link_settings.py
@@ -16,11 +16,15 @@
     cold_factor, cold_extra : float
         Multiple of the operators' rate for a cold backend server, and a fixed number of requests
         added to it, that may be sent in any second; a factor of 0 means no limit.
+    reuse_after_seconds : float
+        Time after the exit of the backend server within which its address is not assigned to a
+        server of another service; 0 if not known.
     """
 
     usable_share: float
     cold_factor: float = 0.0
     cold_extra: float = 0.0
+    reuse_after_seconds: float = 0.0
 
     def cold_bound(self, per_second: float | None) -> int | None:
         """Return the number of requests per second for a cold server; None for no limit."""
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.boot_clock import BootClock
 from hoisthook.admission.admission_policy import Verdict
 from hoisthook.admission.admitter import Admitter
 from hoisthook.admission.running_requests import RunningRequests
@@ -22,6 +23,7 @@
 from hoisthook.mesh.observed_backend import BackendState
 from hoisthook.mesh.observed_backend import ObservedBackend
 from hoisthook.mesh.outcome import CompleteAnswer
+from hoisthook.mesh.service_evidence import ServiceEvidence
 from hoisthook.node.call import Lost
 from hoisthook.node.call import Refused
 from hoisthook.result_code import ResultCode
@@ -37,6 +39,7 @@
     from hoisthook.admission.demand import Demand
     from hoisthook.admission.priority_gate import PriorityGate
     from hoisthook.identity import Address
+    from hoisthook.identity import InstanceId
     from hoisthook.local_backend.crash_monitor import CrashMonitor
     from hoisthook.local_backend.link_settings import LinkSettings
     from hoisthook.local_backend.repeat_limit import RepeatLimit
@@ -53,6 +56,8 @@
 DRAINING_RETRY_SECONDS = 1.0
 # An evacuation may end at any time, so nodes that do not know of it yet retry soon.
 EVACUATED_RETRY_SECONDS = 0.3
+# An announcement may identify the backend server at any time.
+UNIDENTIFIED_RETRY_SECONDS = 0.3
 MIN_RETRY_AFTER_SECONDS = 0.02
 
 
@@ -121,7 +126,9 @@
         self._log = log
         self._speed = ServerSpeed()
         self.running = RunningRequests(clock)
-        self.observed_backend = ObservedBackend(log)
+        self.observed_backend = ObservedBackend(
+            ServiceEvidence(settings.reuse_after_seconds, BootClock()), log
+        )
         self._claim = AnnouncementClaim(self.observed_backend, clock.now())
         self._confirming = BackgroundTasks()
         self._notices = BackendNotices(self.observed_backend, log)
@@ -175,7 +182,12 @@
         return self._admitter.gate
 
     def announced(self, announcement: Announcement) -> None:
-        """Apply an announcement of the backend server, once it is confirmed if that is needed."""
+        """Apply an announcement of the backend server, once it is confirmed if that is needed.
+
+        Which service its sender belongs to is known at once, however late it arrives.
+        """
+        self.observed_backend.evidence.announced(announcement.instance)
+        self.observed_backend.service_shown(announcement.instance)
         if self._claim.holds_back(announcement, self._clock.now()):
             self._log.event(
                 "announcement_unconfirmed",
@@ -187,6 +199,11 @@
             self._apply_announcement(announcement)
         self._update_gate()
 
+    def announced_elsewhere(self, instance: InstanceId) -> None:
+        """Apply an announcement that names a service other than that of this node."""
+        self.observed_backend.announced_elsewhere(instance)
+        self._update_gate()
+
     def history_known(self) -> None:
         """Record that what earlier processes of the node have acknowledged has been applied."""
         self._claim.history_known()
@@ -288,12 +305,12 @@
             return Refused(ResultCode.NODE_LEAVING, MIN_RETRY_AFTER_SECONDS)
         if self.evacuated:
             return Refused(ResultCode.DATA_CENTRE_EVACUATED, EVACUATED_RETRY_SECONDS)
-        if not observed_backend.takes_work:
-            return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
-        if not observed_backend.has_answered:
+        refused = self._refuse_by_state()
+        if refused is None and not observed_backend.has_answered:
             refused = self._refuse_before_first_answer()
-            if refused is not None:
-                return refused
+        refused = refused or self._refuse_unknown_instance()
+        if refused is not None:
+            return refused
         if now < observed_backend.unavailable_until:
             return Refused(ResultCode.UNREACHABLE, observed_backend.unavailable_until - now)
         if call.time_left(now) <= 0:
@@ -303,6 +320,20 @@
             return refused
         return _refusal(self._admitter.decide_admission(demand, may_wait=may_wait))
 
+    def _refuse_by_state(self) -> Refused | None:
+        """Return a refusal if the backend server is known not to take requests of this service."""
+        if self.observed_backend.state is BackendState.UNIDENTIFIED:
+            return Refused(ResultCode.BACKEND_SERVER_DRAINING, UNIDENTIFIED_RETRY_SECONDS)
+        if not self.observed_backend.takes_work:
+            return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
+        return None
+
+    def _refuse_unknown_instance(self) -> Refused | None:
+        """Return a refusal if no incarnation is known that a request could name."""
+        if self.observed_backend.instance is None:
+            return Refused(ResultCode.UNREACHABLE, UNREACHABLE_BACKOFF_SECONDS)
+        return None
+
     def _refuse_before_first_answer(self) -> Refused | None:
         """Return a refusal while the backend server has not answered this process yet.
 
@@ -327,9 +358,12 @@
         """
         if self.evacuated:
             return Refused(ResultCode.DATA_CENTRE_EVACUATED, EVACUATED_RETRY_SECONDS)
-        if not self.observed_backend.takes_work:
-            return Refused(ResultCode.BACKEND_SERVER_DRAINING, DRAINING_RETRY_SECONDS)
-        return self._crash_monitor.refuse(call) or self.repeats.count_or_refuse(call)
+        return (
+            self._refuse_by_state()
+            or self._refuse_unknown_instance()
+            or self._crash_monitor.refuse(call)
+            or self.repeats.count_or_refuse(call)
+        )
 
     def _demand(self, call: RoutedCall) -> Demand:
         return self._admitter.demand(
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -118,6 +118,7 @@
             self._observed_backend.unreachable(self._clock.now(), UNREACHABLE_BACKOFF_SECONDS)
             return
         requested_at = self._clock.now()
+        sent_at = self._observed_backend.evidence.now()
         answer = await exchange_buffered(
             connection,
             b"GET",
@@ -137,7 +138,7 @@
         if head.status >= UNHEALTHY_STATUS:
             self._observed_backend.reported_unhealthy()
         elif reading.instance is not None:
-            self._observed_backend.answered_as(reading.instance)
+            self._observed_backend.answered_as(reading.instance, sent_at)
         # An answer that refuses for lack of slots may leave out that the server is cold.
         if self._on_cold is not None and (head.status == OK or reading.cold_seconds > 0):
             self._on_cold(reading.cold_seconds, requested_at)
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -143,6 +143,7 @@
                 settings.backend_server.usable_share,
                 settings.cold.rate_factor,
                 settings.cold.extra,
+                settings.backend_server.reuse_after_seconds,
             ),
             crashes=self.crashes.crash_monitor,
             repeats=self.repeats,
--- a/src/hoisthook/mesh/observed_backend.py
+++ b/src/hoisthook/mesh/observed_backend.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterable
 
     from hoisthook.identity import InstanceId
+    from hoisthook.mesh.service_evidence import ServiceEvidence
     from hoisthook.port.backend_wire import BackendLoad
     from hoisthook.port.event_log import EventLog
 
@@ -35,14 +36,23 @@
 
 
 class BackendState(Enum):
-    """States of the local backend server."""
+    """States of the local backend server.
+
+    ``UNIDENTIFIED``: an incarnation answers whose service is not known. ``FOREIGN``: it belongs to
+    another service.
+    """
 
     UNKNOWN = "unknown"
+    UNIDENTIFIED = "unidentified"
+    FOREIGN = "foreign"
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
 
 
+_STATES_WITHOUT_SERVICE = frozenset({BackendState.UNIDENTIFIED, BackendState.FOREIGN})
+
+
 @dataclass(frozen=True, slots=True)
 class Announcement:
     """An announcement by which a backend server reports its state.
@@ -89,11 +99,15 @@
 
     Parameters
     ----------
+    evidence : ServiceEvidence
+        Which incarnations belong to the service of this node.
     log : EventLog
         Receives a record of each change of state or incarnation.
 
     Attributes
     ----------
+    evidence : ServiceEvidence
+        Which incarnations belong to the service of this node.
     state : BackendState
         Last known state.
     slots : int
@@ -104,7 +118,8 @@
         Whether it has answered this process, so that what its answers say is known.
     """
 
-    def __init__(self, log: EventLog) -> None:
+    def __init__(self, evidence: ServiceEvidence, log: EventLog) -> None:
+        self.evidence = evidence
         self._log = log
         self._former_by_instance: dict[InstanceId, _FormerIncarnation] = {}
         self._current: BackendIncarnation | None = None
@@ -112,6 +127,8 @@
         self._withdrawal_by_instance: dict[InstanceId, Withdrawal] = {}
         self._on_withdrawn: list[Callable[[], None]] = []
         self._sequence = -1
+        # Time from which an exchange must have been sent to show another incarnation.
+        self._identified_at = -math.inf
         self._recent_failures: deque[bool] = deque(maxlen=RECENT_ANSWERS)
         self._dropped_in_a_row = 0
         self._dropped_backoff = INITIAL_DROPPED_BACKOFF_SECONDS
@@ -158,6 +175,24 @@
         the deregistration of the earlier one applies to it. Late announcements of the earlier
         incarnation are ignored.
         """
+        self.evidence.announced(announcement.instance)
+        return self._apply_announcement(announcement)
+
+    def announced_elsewhere(self, instance: InstanceId) -> None:
+        """Record that an incarnation announces a service other than that of this node."""
+        self.evidence.announced_elsewhere(instance)
+        if instance == self.instance:
+            self._set_state(BackendState.FOREIGN)
+
+    def service_shown(self, instance: InstanceId) -> None:
+        """Apply new evidence that an incarnation belongs to the service of this node.
+
+        One that has answered already is ready from now on.
+        """
+        if instance == self.instance and self.state is BackendState.UNIDENTIFIED:
+            self._set_state(BackendState.READY)
+
+    def _apply_announcement(self, announcement: Announcement) -> bool:
         incarnation = announcement.incarnation
         former = self._former_by_instance.get(incarnation.instance)
         if former is not None and not incarnation.is_later_than(former.incarnation):
@@ -211,7 +246,7 @@
             elif withdrawal.sequence is None:
                 self.deregistered(withdrawal.incarnation)
             else:
-                self.announced(
+                self._apply_announcement(
                     Announcement(
                         withdrawal.instance,
                         withdrawal.sequence,
@@ -222,18 +257,43 @@
                     )
                 )
 
-    def answered_as(self, instance: InstanceId) -> None:
+    def answered_as(self, instance: InstanceId, sent_at: float) -> None:
         """Record which incarnation answers at the address.
 
         An incarnation that answers becomes the current one, with its last known state, even if a
-        late announcement of its predecessor had replaced it. Only a deregistration is final.
+        late announcement of its predecessor had replaced it. Only a deregistration is final. It
+        takes work only if it is known to belong to the service of this node.
+
+        Parameters
+        ----------
+        instance : InstanceId
+            The incarnation.
+        sent_at : float
+            Time before the request was sent, on the clock of the evidence.
         """
+        self.evidence.answered(instance, sent_at)
         former = self._former_by_instance.get(instance)
-        state = BackendState.READY if former is None else former.state
-        if instance != self.instance and state is not BackendState.GONE:
+        if instance == self.instance:
+            self._identified_at = max(self._identified_at, sent_at)
+            if self.evidence.shows_service(instance):
+                self.service_shown(instance)
+        elif sent_at < self._identified_at:
+            # The answer was in transit while another incarnation took over.
+            return
+        elif former is None or former.state is not BackendState.GONE:
             known = BackendIncarnation(instance) if former is None else former.incarnation
-            self._replace(known, "answered")
-            self._set_state(state)
+            self._replace(known, "answered", sent_at)
+            self._set_state(self._state_by_evidence(instance, former))
+
+    def _state_by_evidence(
+        self, instance: InstanceId, former: _FormerIncarnation | None
+    ) -> BackendState:
+        if not self.evidence.shows_service(instance):
+            is_known = self.evidence.of(instance) is not None
+            return BackendState.FOREIGN if is_known else BackendState.UNIDENTIFIED
+        if former is None or former.state in _STATES_WITHOUT_SERVICE:
+            return BackendState.READY
+        return former.state
 
     def reported_leaving(self) -> None:
         """Set a backend server whose answers say that it leaves to draining, for good.
@@ -286,12 +346,15 @@
         self.unavailable_until = now + seconds
         self._log.event("backend_unreachable", instance=self.instance, closed_for=seconds)
 
-    def _replace(self, incarnation: BackendIncarnation, how: str) -> None:
+    def _replace(
+        self, incarnation: BackendIncarnation, how: str, sent_at: float | None = None
+    ) -> None:
         before = self._current
         if before is not None and before.instance != incarnation.instance:
             self._record_former(before, self.state)
         self._former_by_instance.pop(incarnation.instance, None)
         self._current = incarnation
+        self._identified_at = self.evidence.now() if sent_at is None else sent_at
         # What was reported before any incarnation was known was reported by this one.
         self._is_leaving = self._is_leaving and before is None
         self._sequence = -1
@@ -305,10 +368,21 @@
             born=incarnation.born,
             before=None if before is None else before.instance,
             how=how,
+            how_age=self._age(sent_at),
+            **self._evidence_fields(incarnation.instance),
         )
         for listener in self._on_replaced:
             listener()
 
+    def _evidence_fields(self, instance: InstanceId) -> dict[str, object]:
+        evidence = self.evidence.of(instance)
+        if evidence is None:
+            return {"service": None}
+        return {"service": evidence.source.value, "service_age": self._age(evidence.since)}
+
+    def _age(self, since: float | None) -> float | None:
+        return None if since is None else round(self.evidence.now() - since, 3)
+
     def _withdraw(self, incarnation: BackendIncarnation, sequence: int | None = None) -> None:
         known = self._withdrawal_by_instance.get(incarnation.instance)
         is_known = known is not None and not incarnation.is_later_than(known.incarnation)
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -62,10 +62,14 @@
         Its listen address, ``host:port``.
     usable_share : float
         Share of its slots that is used if it is observed to slow down when nearly full.
+    reuse_after_seconds : float
+        Time after the exit of the backend server within which its address is not assigned to a
+        server of another service; 0 if not known.
     """
 
     address: str
     usable_share: float = 0.8
+    reuse_after_seconds: float = 0.0
 
 
 class StoreSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -21,6 +21,7 @@
     from pathlib import Path
 
 MAX_DRAIN_SECONDS = 3600.0
+MAX_REUSE_SECONDS = 3600.0
 
 Settings = TypeVar("Settings")
 
@@ -143,6 +144,12 @@
         yield from _address_problems(key, address)
     for key, value, low, high in (
         ("backend_server.usable_share", settings.backend_server.usable_share, 0.01, 1.0),
+        (
+            "backend_server.reuse_after_seconds",
+            settings.backend_server.reuse_after_seconds,
+            0.0,
+            MAX_REUSE_SECONDS,
+        ),
         ("shutdown.grace_seconds", settings.shutdown.grace_seconds, 0.0, MAX_DRAIN_SECONDS),
         ("retry.ratio", settings.retry.ratio, 0.0, 1.0),
         ("retry.window_seconds", settings.retry.window_seconds, 0.1, 600.0),
--- a/standin/mesh_system.py
+++ b/standin/mesh_system.py
@@ -96,7 +96,7 @@
         Event log that all nodes share.
     pool : ClientPool
         Connections of the callers.
-    readers_per_data_centre, first_start, cold, keys, teams, retry
+    readers_per_data_centre, first_start, reuse_after_seconds, cold, keys, teams, retry
         Settings of the nodes that are added afterwards.
     """
 
@@ -106,6 +106,7 @@
         self.machines: list[Machine] = []
         self.readers_per_data_centre = 4
         self.first_start = False
+        self.reuse_after_seconds = 0.0
         self.cold = MeshColdSettings()
         self.keys = MeshKeySettings()
         self.teams = MeshTeamSettings()
@@ -247,7 +248,9 @@
         settings = MeshSettings(
             node=MeshIdentitySettings(name, data_centre, service, self.first_start),
             listen=MeshListenSettings(ANY_PORT, free_address(), ANY_PORT, ANY_PORT),
-            backend_server=BackendServerSettings(format_address(backend.address), 1.0),
+            backend_server=BackendServerSettings(
+                format_address(backend.address), 1.0, self.reuse_after_seconds
+            ),
             store=StoreSettings(
                 format_address(self.store.address),
                 TOPIC,
--- a/tests/local_backend/test_exit_detector.py
+++ b/tests/local_backend/test_exit_detector.py
@@ -15,9 +15,9 @@
 from hoisthook.local_backend.exit_detector import ExitDetector
 from hoisthook.local_backend.exit_detector import LostRequest
 from hoisthook.mesh.observed_backend import Announcement
-from hoisthook.mesh.observed_backend import ObservedBackend
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_system import ListLog
+from tests.observed_backends import make_observed_backend
 
 if TYPE_CHECKING:
     from tests.fakes import FakeClock
@@ -30,7 +30,7 @@
 
     def __init__(self, clock: FakeClock, backend: MeshBackendStandin) -> None:
         self.clock = clock
-        self.observed_backend = ObservedBackend(ListLog())
+        self.observed_backend = make_observed_backend()
         self.announce(sequence=1)
         self.exit_detector = ExitDetector(
             lambda: backend.address,
--- a/tests/mesh/test_dropping_backend.py
+++ b/tests/mesh/test_dropping_backend.py
@@ -7,10 +7,10 @@
 from hoisthook.admission import work_times
 from hoisthook.identity import InstanceId
 from hoisthook.mesh import observed_backend
-from hoisthook.mesh.observed_backend import ObservedBackend
 from standin.mesh_backend import Fault
 from standin.mesh_system import ListLog
 from standin.published_configuration import RouteOptions
+from tests.observed_backends import make_observed_backend
 
 if TYPE_CHECKING:
     import pytest
@@ -73,8 +73,8 @@
 
 def test_backoff_doubles_up_to_its_maximum_and_resets_after_an_answer() -> None:
     log = ListLog()
-    observed_backend = ObservedBackend(log)
-    observed_backend.answered_as(InstanceId("i-1"))
+    observed_backend = make_observed_backend(log)
+    observed_backend.answered_as(InstanceId("i-1"), observed_backend.evidence.now())
     now = 0.0
     for _ in range(7):
         observed_backend.dropped(now)
@@ -89,7 +89,7 @@
 
 def test_concurrent_requests_that_are_dropped_cause_one_backoff() -> None:
     log = ListLog()
-    observed_backend = ObservedBackend(log)
+    observed_backend = make_observed_backend(log)
     for _ in range(9):
         observed_backend.dropped(1.0)
     assert [line["closed_for"] for line in log.named("backend_unreachable")] == [0.15]
--- a/tests/mesh/test_incarnations.py
+++ b/tests/mesh/test_incarnations.py
@@ -12,9 +12,8 @@
 from hoisthook.membership.backend_incarnation import BackendIncarnation
 from hoisthook.mesh.observed_backend import Announcement
 from hoisthook.mesh.observed_backend import BackendState
-from hoisthook.mesh.observed_backend import ObservedBackend
-from standin.mesh_system import ListLog
 from standin.published_configuration import RouteOptions
+from tests.observed_backends import make_observed_backend
 
 if TYPE_CHECKING:
     from standin.mesh_system import MeshSystem
@@ -28,7 +27,7 @@
 
 
 def test_drain_of_a_later_incarnation_applies_despite_a_lower_sequence() -> None:
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     observed_backend.announced(announcement(EARLIER, 400))
     observed_backend.announced(announcement(LATER, 1))
     assert observed_backend.announced(announcement(LATER, 2, draining=True))
@@ -36,7 +35,7 @@
 
 
 def test_deregistration_of_an_earlier_incarnation_does_not_bind_a_later_one() -> None:
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     observed_backend.announced(announcement(EARLIER, 400))
     observed_backend.deregistered(BackendIncarnation(SAME, EARLIER))
     observed_backend.announced(announcement(LATER, 1))
@@ -44,7 +43,7 @@
 
 
 def test_late_messages_of_an_earlier_incarnation_are_ignored() -> None:
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     observed_backend.announced(announcement(LATER, 1))
     assert not observed_backend.announced(announcement(EARLIER, 401, draining=True))
     observed_backend.deregistered(BackendIncarnation(SAME, EARLIER))
@@ -52,7 +51,7 @@
 
 
 def test_replacement_resets_the_observed_state() -> None:
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     replaced: list[bool] = []
     observed_backend.on_replaced(lambda: replaced.append(True))
     observed_backend.announced(announcement(EARLIER, 400))
@@ -82,7 +81,7 @@
         # An incarnation under another id that has deregistered.
         messages.append(BackendIncarnation(other, EARLIER - 1))
     expected = _last_state(messages)
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     for message in data.draw(st.permutations(messages)):
         if isinstance(message, Announcement):
             observed_backend.announced(message)
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -17,7 +17,6 @@
 from hoisthook.mesh import peer_hop
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.observed_backend import Announcement
-from hoisthook.mesh.observed_backend import ObservedBackend
 from hoisthook.mesh.outcome import CompleteAnswer
 from hoisthook.mesh.routed_call import RoutedCall
 from hoisthook.node.call import Refused
@@ -25,8 +24,8 @@
 from hoisthook.retry.arrival_budget import RERUN_SHARE
 from hoisthook.settings.mesh_settings import MeshRetrySettings
 from standin.mesh_backend import Fault
-from standin.mesh_system import ListLog
 from standin.published_configuration import RouteOptions
+from tests.observed_backends import make_observed_backend
 
 if TYPE_CHECKING:
     from hoisthook.local_backend.repeat_limit import ArrivingRequest
@@ -285,10 +284,10 @@
 
     A restarted node knows no earlier incarnation, so it cannot tell that the heartbeat is late.
     """
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     observed_backend.announced(announcement("new", 5))
     observed_backend.announced(announcement("dead", 90))
-    observed_backend.answered_as(InstanceId("new"))
+    observed_backend.answered_as(InstanceId("new"), observed_backend.evidence.now())
     assert observed_backend.instance == "new"
     assert observed_backend.takes_work
     observed_backend.announced(announcement("new", 6, draining=True))
@@ -296,20 +295,20 @@
 
 
 def test_answer_does_not_undo_the_drain_of_the_incarnation_that_gives_it() -> None:
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     observed_backend.announced(announcement("new", 5, draining=True))
     observed_backend.announced(announcement("dead", 90))
-    observed_backend.answered_as(InstanceId("new"))
+    observed_backend.answered_as(InstanceId("new"), observed_backend.evidence.now())
     assert observed_backend.instance == "new"
     assert not observed_backend.takes_work
 
 
 def test_answer_does_not_restore_a_deregistered_incarnation() -> None:
-    observed_backend = ObservedBackend(ListLog())
+    observed_backend = make_observed_backend()
     observed_backend.announced(announcement("old", 5))
     observed_backend.deregistered(BackendIncarnation(InstanceId("old")))
     observed_backend.announced(announcement("new", 1))
-    observed_backend.answered_as(InstanceId("old"))
+    observed_backend.answered_as(InstanceId("old"), observed_backend.evidence.now())
     assert observed_backend.instance == "new"
 
 
--- a/tests/mesh/test_path.py
+++ b/tests/mesh/test_path.py
@@ -174,6 +174,8 @@
 async def test_replaced_incarnation_is_learned_and_the_request_runs_there(
     system: MeshSystem,
 ) -> None:
+    # The address of the former incarnation cannot belong to another service yet.
+    system.reuse_after_seconds = 60.0
     ingress, server = await two_services(system, safe=False)
     # Afterwards the node has an answer, and does not read the health of the server first.
     await system.call(ingress, method=b"POST")
--- a/tests/settings/test_mesh_settings.py
+++ b/tests/settings/test_mesh_settings.py
@@ -62,6 +62,14 @@
     assert (settings.cold.rate_factor, settings.cold.extra) == (1.5, 8.0)
 
 
+def test_template_with_the_reuse_of_addresses_is_valid(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(render_template({"bounds.reuseAfterS": "2"}))
+    assert load_mesh_settings(path).backend_server.reuse_after_seconds == 2.0
+    path.write_text(render_template())
+    assert load_mesh_settings(path).backend_server.reuse_after_seconds == 0.0
+
+
 @pytest.mark.parametrize(
     ("old", "new", "code", "expected_text"),
     [
