A node records which incarnation of its backend server it has identified

With the rule that work goes only to an incarnation of known service, a node that is killed and started beside a server that goes on running waits for its next announcement, up to 1.5 s.

Ways weighed: the other nodes' reports (bytes in each message, and nothing after a kill of all nodes); a record of its own for each incarnation (a second record a node in the list that every starting node reads); a field of the node's registration, which a starting node reads anyway. The last is built: the registration is written again once after an incarnation has been identified, spread over 2 s and at most 200 writes a second, one that is replaced within that time is left out. No call in steady state. A record that is late or missing costs a wait for the next announcement. The ids are unique, so that a record of any age cannot vouch for another server.

Tests: three in tests/mesh/test_reused_address.py.

--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -204,6 +204,11 @@
         self.observed_backend.announced_elsewhere(instance)
         self._update_gate()
 
+    def recorded(self, instance: InstanceId) -> None:
+        """Apply that an earlier process of the node has identified an incarnation."""
+        self.observed_backend.recorded(instance)
+        self._update_gate()
+
     def history_known(self) -> None:
         """Record that what earlier processes of the node have acknowledged has been applied."""
         self._claim.history_known()
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -189,6 +189,7 @@
             readers,
             self.crashes.persist_in(store, settings.store.nodes_topic, self.era),
             self.withdrawals,
+            self.link,
             self.era,
             clock,
             self._randomness,
--- a/src/hoisthook/mesh/observed_backend.py
+++ b/src/hoisthook/mesh/observed_backend.py
@@ -126,6 +126,7 @@
         self._on_replaced: list[Callable[[], None]] = []
         self._withdrawal_by_instance: dict[InstanceId, Withdrawal] = {}
         self._on_withdrawn: list[Callable[[], None]] = []
+        self._on_identified: list[Callable[[], None]] = []
         self._sequence = -1
         # Time from which an exchange must have been sent to show another incarnation.
         self._identified_at = -math.inf
@@ -143,10 +144,21 @@
         """Return the id of the current incarnation; None if none is known."""
         return None if self._current is None else self._current.instance
 
+    @property
+    def identified_instance(self) -> InstanceId | None:
+        """Return the current incarnation if it is known to belong to the service of this node."""
+        instance = self.instance
+        is_identified = instance is not None and self.evidence.shows_service(instance)
+        return instance if is_identified else None
+
     def on_replaced(self, listener: Callable[[], None]) -> None:
         """Register ``listener`` to be called when an incarnation becomes the current one."""
         self._on_replaced.append(listener)
 
+    def on_identified(self, listener: Callable[[], None]) -> None:
+        """Register ``listener`` to be called when the current incarnation is identified."""
+        self._on_identified.append(listener)
+
     def on_withdrawn(self, listener: Callable[[], None]) -> None:
         """Register ``listener`` to be called when an incarnation withdraws."""
         self._on_withdrawn.append(listener)
@@ -184,6 +196,12 @@
         if instance == self.instance:
             self._set_state(BackendState.FOREIGN)
 
+    def recorded(self, instance: InstanceId) -> None:
+        """Apply that an earlier process of this node has identified an incarnation."""
+        self.evidence.recorded(instance)
+        if self.evidence.shows_service(instance):
+            self.service_shown(instance)
+
     def service_shown(self, instance: InstanceId) -> None:
         """Apply new evidence that an incarnation belongs to the service of this node.
 
@@ -191,6 +209,7 @@
         """
         if instance == self.instance and self.state is BackendState.UNIDENTIFIED:
             self._set_state(BackendState.READY)
+            self._notify_identified()
 
     def _apply_announcement(self, announcement: Announcement) -> bool:
         incarnation = announcement.incarnation
@@ -373,6 +392,12 @@
         )
         for listener in self._on_replaced:
             listener()
+        self._notify_identified()
+
+    def _notify_identified(self) -> None:
+        if self.identified_instance is not None:
+            for listener in self._on_identified:
+                listener()
 
     def _evidence_fields(self, instance: InstanceId) -> dict[str, object]:
         evidence = self.evidence.of(instance)
--- a/src/hoisthook/mesh/registration.py
+++ b/src/hoisthook/mesh/registration.py
@@ -10,6 +10,7 @@
 
 from hoisthook.background_tasks import BackgroundTasks
 from hoisthook.exceptions import StoreUnavailableError
+from hoisthook.identity import InstanceId
 from hoisthook.mesh.peer import Peer
 from hoisthook.port.record_store import KeyedRecord
 
@@ -19,6 +20,7 @@
     from collections.abc import Iterator
 
     from hoisthook.membership.store_era import StoreEra
+    from hoisthook.mesh.backend_link import BackendLink
     from hoisthook.mesh.crash_records import CrashRecords
     from hoisthook.mesh.peer_directory import PeerDirectory
     from hoisthook.mesh.peer_sync import PeerSync
@@ -43,8 +45,8 @@
 # A store that has regressed to an older copy lacks the writes of the last seconds before. Only a
 # registration of at least this age is certain to be in the copy.
 COPY_AGE_SECONDS = 60.0
-# Repeated registrations are spread over at least this time, and over more if there are so many
-# nodes that they would exceed the rate.
+# Registrations that are written again are spread over at least this time, and over more if there
+# are so many nodes that they would exceed the rate.
 REREGISTRATION_SECONDS = 2.0
 REREGISTRATIONS_PER_SECOND = 200.0
 # Time that a node in a common start waits for the list beyond EARLY_READ_SECONDS, which is enough
@@ -59,8 +61,25 @@
 MAX_BACKOFF_SECONDS = 1.0
 
 
+class NodeRecord(Peer, frozen=True, omit_defaults=True):
+    """A node's registration with what only its own next process needs.
+
+    Attributes
+    ----------
+    backend_instance : InstanceId or None
+        Incarnation of the local backend server that is known to belong to the node's service; None
+        if there was none.
+    """
+
+    backend_instance: InstanceId | None = None
+
+
 class Registration:
-    """Registers this node once and reads the registrations of the others.
+    """Registers this node and reads the registrations of the others.
+
+    A registration is written once, and again after an incarnation of the backend server has been
+    identified: the next process of the node then knows the service of a server that goes on running
+    before that announces itself again.
 
     A node whose record is already in the store writes nothing. A new node announces itself to the
     readers of all data centres, see `hoisthook.mesh.peer_sync.PeerSync.announce_self`, and the
@@ -83,6 +102,8 @@
         Receives the records of refused work.
     withdrawals : WithdrawalRecords
         Receives the records of withdrawn backend servers.
+    local_backend : BackendLink
+        Source and receiver of the identified incarnation.
     era : StoreEra
         Reports when the store has regressed to an older copy.
     clock : Clock
@@ -104,6 +125,7 @@
         readers: StoreReaders,
         crash_records: CrashRecords,
         withdrawals: WithdrawalRecords,
+        local_backend: BackendLink,
         era: StoreEra,
         clock: Clock,
         randomness: Randomness,
@@ -118,14 +140,19 @@
         self._readers = readers
         self._crash_records = crash_records
         self._withdrawals = withdrawals
+        self._local_backend = local_backend
         self._clock = clock
         self._randomness = randomness
         self._log = log
         self._first_start = first_start
         self._record_offset = 0
         self._registered_at = -math.inf
+        self._recorded_instance: InstanceId | None = None
+        self._is_recording = False
+        self._is_registered = False
         self._reregistration = BackgroundTasks()
         era.on_change(self._store_regressed)
+        local_backend.observed_backend.on_identified(self._record_instance)
         self._backoff = FIRST_BACKOFF_SECONDS
 
     async def run(self) -> None:
@@ -151,9 +178,31 @@
 
     async def _register_again(self) -> None:
         """Write the record that the store may have lost, at a random time to spread the load."""
+        await self._pause_for_others()
+        await self._retry_until_done(self._put)
+
+    async def _pause_for_others(self) -> None:
         seconds = max(REREGISTRATION_SECONDS, len(self._directory) / REREGISTRATIONS_PER_SECOND)
         await asyncio.sleep(seconds * self._randomness.random())
-        await self._retry_until_done(self._put)
+
+    def _record_instance(self) -> None:
+        if not self._is_recording and self._is_instance_missing():
+            self._is_recording = True
+            self._reregistration.start(self._record_instance_soon())
+
+    async def _record_instance_soon(self) -> None:
+        """Record the identified incarnation; one that is replaced before then is left out."""
+        try:
+            while self._is_instance_missing():
+                await self._pause_for_others()
+                if self._is_registered and self._is_instance_missing():
+                    await self._retry_until_done(self._put)
+        finally:
+            self._is_recording = False
+
+    def _is_instance_missing(self) -> bool:
+        instance = self._local_backend.observed_backend.identified_instance
+        return instance is not None and instance != self._recorded_instance
 
     async def _register_with_all(self) -> None:
         """Register in a common start of all nodes, then get the list of the others."""
@@ -194,26 +243,47 @@
         me = self._directory.me
         registered = {peer.node: peer for peer in await self._read()}
         if registered.get(me.node) == me:
+            self._is_registered = True
             return
         await self._put()
         await self._sync.announce_self(self._readers.readers_of_all_data_centres())
 
     async def _put(self) -> None:
         me = self._directory.me
-        record = KeyedRecord(me.node, msgspec.json.encode(me))
+        identified = self._local_backend.observed_backend.identified_instance
+        instance = identified or self._recorded_instance
+        value = NodeRecord(**msgspec.structs.asdict(me), backend_instance=instance)
+        record = KeyedRecord(me.node, msgspec.json.encode(value))
         self._record_offset = await self._store.put(self._topic, record)
+        self._recorded_instance = instance
+        self._is_registered = True
         self._registered_at = self._clock.now()
-        self._log.event("registered", known=len(self._directory) - 1)
+        self._log.event("registered", known=len(self._directory) - 1, instance=instance)
 
     async def _read(self) -> list[Peer]:
         page = await self._store.newest(self._topic)
         self._withdrawals.read(r for r in page.records if self._withdrawals.accepts(r))
         peers = list(self._peers(page))
+        self._read_instance(page)
         self._directory.merge(peers, "store")
         self._directory.is_complete = True
         self._directory.peers_known.set()
         return peers
 
+    def _read_instance(self, page: RecordPage) -> None:
+        """Apply which incarnation an earlier process of this node has identified."""
+        for record in page.records:
+            if record.key != self._directory.me.node or self._recorded_instance is not None:
+                continue
+            try:
+                instance = msgspec.json.decode(record.value, type=NodeRecord).backend_instance
+            except msgspec.DecodeError:
+                # Reported where the nodes are read.
+                continue
+            if instance is not None:
+                self._recorded_instance = instance
+                self._local_backend.recorded(instance)
+
     def _peers(self, page: RecordPage) -> Iterator[Peer]:
         for record in page.records:
             if self._crash_records.apply(record) or self._withdrawals.accepts(record):
--- a/tests/mesh/test_reused_address.py
+++ b/tests/mesh/test_reused_address.py
@@ -8,9 +8,11 @@
 import pytest
 
 from hoisthook.identity import InstanceId
+from hoisthook.mesh import registration
 from hoisthook.mesh.hop_header import Admission
 from hoisthook.mesh.observed_backend import Announcement
 from hoisthook.mesh.observed_backend import BackendState
+from hoisthook.mesh.service_evidence import EvidenceSource
 from hoisthook.node.call import Refused
 from standin.published_configuration import RouteOptions
 from tests.fakes import FakeClock
@@ -137,6 +139,59 @@
     return Announcement(instance, sequence, draining=False, slots=4, cold_seconds=0.0)
 
 
+async def test_restarted_node_knows_the_service_of_a_server_that_goes_on_running(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a wait for the next announcement after each restart of a node."""
+    monkeypatch.setattr(registration, "REREGISTRATION_SECONDS", 0.0)
+    ingress, shop = await ingress_and_shop(system)
+    await until(lambda: any(line["instance"] == "i-2" for line in system.log.named("registered")))
+    ingress.crash()
+    shop.crash()
+    ingress = await system.restart(ingress)
+    shop = await system.restart(shop)
+    system.merge_all_peers()
+    await system.until_configured(1)
+    async with asyncio.timeout(10.0):
+        while (await system.call(ingress))[0] != 200:
+            await asyncio.sleep(0.02)
+    evidence = shop.node.link.observed_backend.evidence.of(InstanceId("i-2"))
+    assert evidence is not None
+    assert evidence.source is EvidenceSource.RECORDED
+
+
+async def test_recorded_incarnation_does_not_vouch_for_another_service(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(registration, "REREGISTRATION_SECONDS", 0.0)
+    ingress, shop = await ingress_and_shop(system)
+    await until(lambda: any(line["instance"] == "i-2" for line in system.log.named("registered")))
+    await give_address_to_another_service(shop)
+    runs = len(shop.backend.runs)
+    shop.crash()
+    shop = await system.restart(shop)
+    system.merge_all_peers()
+    await system.until_configured(1)
+    await until(lambda: shop.node.link.observed_backend.evidence.of(InstanceId("i-2")) is not None)
+    for _ in range(5):
+        assert (await system.call(ingress, deadline_ms=400))[0] == 503
+    assert len(shop.backend.runs) == runs
+
+
+@pytest.mark.parametrize("is_withdrawn", [False, True])
+async def test_incarnation_is_recorded_once(
+    system: MeshSystem, monkeypatch: pytest.MonkeyPatch, *, is_withdrawn: bool
+) -> None:
+    """Guards against calls to the store for each announcement."""
+    monkeypatch.setattr(registration, "REREGISTRATION_SECONDS", 0.0)
+    _, shop = await ingress_and_shop(system)
+    await until(lambda: any(line["instance"] == "i-2" for line in system.log.named("registered")))
+    written = len(system.log.named("registered"))
+    for _ in range(5):
+        assert await shop.send_heartbeat("draining" if is_withdrawn else "ready") == 200
+    assert len(system.log.named("registered")) == written
+
+
 @pytest.mark.parametrize(
     ("reuse_after", "seconds", "state"),
     [
