A server that has exited is probed while an answer still shows its successor

An incarnation that answers before the address can have been reassigned is a successor and needs no announcement. Whether it answers in time depended on requests, which come 0.3 s apart at best after a refused connection, and other nodes stay away for longer.

Change: from the first refused connection on, the health is read every 0.1 s until it answers or the time is over; a read whose connection is refused reaches no server. The line `backend_unreachable` is written once for an outage.

Tests: test_silent_successor_is_identified_..., test_nothing_is_probed_... in test_reused_address.py.

--- a/src/hoisthook/admission/admitter.py
+++ b/src/hoisthook/admission/admitter.py
@@ -37,8 +37,8 @@
     def is_reading(self) -> bool:
         """Return whether a read is in progress."""
 
-    async def read(self) -> None:
-        """Read once, or wait for the read in progress."""
+    async def read(self) -> bool:
+        """Read once, or wait for the read in progress; return whether there was an answer."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hoisthook/experiment/modelled_node.py
+++ b/src/hoisthook/experiment/modelled_node.py
@@ -72,11 +72,12 @@
         """Return whether a read is in progress."""
         return self._reading is not None and not self._reading.done()
 
-    async def read(self) -> None:
-        """Read the load, or wait for the read in progress."""
+    async def read(self) -> bool:
+        """Read the load, or wait for the read in progress; a modelled server always answers."""
         if self._reading is None or self._reading.done():
             self._reading = asyncio.get_running_loop().create_task(self._read())
         await asyncio.shield(self._reading)
+        return True
 
     async def _read(self) -> None:
         self.reads += 1
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -14,6 +14,7 @@
 from hoisthook.local_backend.backend_exchange import FAILURE_STATUS
 from hoisthook.local_backend.backend_exchange import BackendExchanges
 from hoisthook.local_backend.exit_detector import ExitDetector
+from hoisthook.local_backend.successor_probe import SuccessorProbe
 from hoisthook.mesh.announcement_claim import AnnouncementClaim
 from hoisthook.mesh.backend_notices import BackendNotices
 from hoisthook.mesh.health_reader import UNREACHABLE_BACKOFF_SECONDS
@@ -158,6 +159,8 @@
             clock,
             log,
         )
+        self._successor_probe = SuccessorProbe(self.health, self.observed_backend.evidence)
+        self.observed_backend.on_unreachable(self._successor_probe.start)
         self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.observed_backend.on_replaced(self._replaced)
         self.health.on_cold(self._update_cold_state)
@@ -298,6 +301,7 @@
         """Cancel all background work; requests are not affected."""
         self._confirming.close()
         self.exit_detector.close()
+        self._successor_probe.close()
         self.health.close()
         self._admitter.close()
 
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -85,7 +85,7 @@
         self._notices = notices
         self._clock = clock
         self._log = log
-        self._read_task: asyncio.Task[None] | None = None
+        self._read_task: asyncio.Task[bool] | None = None
         self._on_cold: Callable[[float, float], None] | None = None
         self.path: str | None = None
 
@@ -98,25 +98,25 @@
         """Return whether a read is in progress."""
         return self._read_task is not None and not self._read_task.done()
 
-    async def read(self) -> None:
-        """Read once, or wait for the read in progress."""
+    async def read(self) -> bool:
+        """Read once, or wait for the read in progress; return whether there was an answer."""
         if self._read_task is None or self._read_task.done():
             self._read_task = asyncio.get_running_loop().create_task(self._read())
-        await asyncio.shield(self._read_task)
+        return await asyncio.shield(self._read_task)
 
     def close(self) -> None:
         """Cancel a read in progress."""
         if self._read_task is not None:
             self._read_task.cancel()
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
         if self.path is None:
-            return
+            return False
         try:
             connection = await self._pool.acquire(self._address, CONNECT_SECONDS)
         except UnreachableError:
             self._observed_backend.unreachable(self._clock.now(), UNREACHABLE_BACKOFF_SECONDS)
-            return
+            return False
         requested_at = self._clock.now()
         sent_at = self._observed_backend.evidence.now()
         answer = await exchange_buffered(
@@ -130,7 +130,7 @@
         )
         if isinstance(answer, Lost):
             self._log.event("health_unanswered", instance=self._observed_backend.instance)
-            return
+            return False
         self._pool.keep(self._address, connection)
         head, _ = answer
         self._observed_backend.has_answered = True
@@ -154,3 +154,4 @@
             self._observed_backend.load_reported(reading.load)
             self._running.reported(reading.load.running + reading.load.waiting)
             self._speed.slow_periods.reported(reading.load.slowdown, self._clock.now())
+        return True
--- a/src/hoisthook/mesh/observed_backend.py
+++ b/src/hoisthook/mesh/observed_backend.py
@@ -127,6 +127,7 @@
         self._withdrawal_by_instance: dict[InstanceId, Withdrawal] = {}
         self._on_withdrawn: list[Callable[[], None]] = []
         self._on_identified: list[Callable[[], None]] = []
+        self._on_unreachable: list[Callable[[], None]] = []
         self._sequence = -1
         # Time from which an exchange must have been sent to show another incarnation.
         self._identified_at = -math.inf
@@ -159,6 +160,10 @@
         """Register ``listener`` to be called when the current incarnation is identified."""
         self._on_identified.append(listener)
 
+    def on_unreachable(self, listener: Callable[[], None]) -> None:
+        """Register ``listener`` to be called when no request can be sent to it."""
+        self._on_unreachable.append(listener)
+
     def on_withdrawn(self, listener: Callable[[], None]) -> None:
         """Register ``listener`` to be called when an incarnation withdraws."""
         self._on_withdrawn.append(listener)
@@ -362,8 +367,11 @@
 
     def unreachable(self, now: float, seconds: float) -> None:
         """Mark the backend server as unavailable for some seconds."""
+        if now >= self.unavailable_until:
+            self._log.event("backend_unreachable", instance=self.instance, closed_for=seconds)
         self.unavailable_until = now + seconds
-        self._log.event("backend_unreachable", instance=self.instance, closed_for=seconds)
+        for listener in self._on_unreachable:
+            listener()
 
     def _replace(
         self, incarnation: BackendIncarnation, how: str, sent_at: float | None = None
--- a/tests/mesh/test_reused_address.py
+++ b/tests/mesh/test_reused_address.py
@@ -160,6 +160,36 @@
     assert evidence.source is EvidenceSource.RECORDED
 
 
+async def test_silent_successor_is_identified_while_its_answer_shows_the_service(
+    system: MeshSystem,
+) -> None:
+    """Guards against a restarted server that is used only once it has announced itself."""
+    system.reuse_after_seconds = 60.0
+    ingress, shop = await ingress_and_shop(system)
+    shop.backend.crash()
+    assert (await system.call(ingress, deadline_ms=400))[0] in (502, 503)
+    await shop.backend.start_as("successor")
+    # No request finds out: the probe does.
+    link = shop.node.link
+    await until(lambda: link.observed_backend.identified_instance == "successor")
+    evidence = link.observed_backend.evidence.of(InstanceId("successor"))
+    assert evidence is not None
+    assert evidence.source is EvidenceSource.SUCCEEDED
+    assert (await system.call(ingress))[0] == 200
+
+
+async def test_nothing_is_probed_once_an_answer_shows_no_service(system: MeshSystem) -> None:
+    ingress, shop = await ingress_and_shop(system)
+    shop.backend.crash()
+    assert (await system.call(ingress, deadline_ms=400))[0] in (502, 503)
+    reads = shop.backend.health_reads
+    await shop.backend.start_as("foreign")
+    probe = shop.node.link._successor_probe
+    probe.start()
+    assert not probe._is_running
+    assert shop.backend.health_reads == reads
+
+
 async def test_recorded_incarnation_does_not_vouch_for_another_service(
     system: MeshSystem, monkeypatch: pytest.MonkeyPatch
 ) -> None:
