A late announcement changes nothing but what is known of its sender

Seen besides: if the late heartbeat says that its sender drains, the living server got nothing any more.

Cause: `ObservedBackend.announced` took an announcement for evidence of who runs at the address. An unknown sender became the current incarnation, the living one a former one, whose announcements were dropped and acknowledged all the same.

Weighed: ordering incarnations by the time of their start (often not sent, and clocks jump); following the newest arrival and mending it by the next 421 (what stood; needs traffic); following answers. The last is built, as the second half of the rule for addresses that change hands: answers show which incarnation runs, announcements show what their sender is. Each incarnation has a record of its own, and a statement changes the record of its sender only. An announcement of another incarnation than the one shown makes the node read the health, which names the one that runs; without an answer it is followed only if the one shown takes no work. A wrong guess costs a 421, never a run. The statement of an incarnation whose successor under the same id is known binds nobody and is answered 503.

The records, the withdrawals and the announcement are modules of their own now.

In test_incarnations.py two assertions name the effect of an announcement, which was a truth value.

--- a/src/hoisthook/mesh/announcement_claim.py
+++ b/src/hoisthook/mesh/announcement_claim.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from hoisthook.mesh.observed_backend import BackendState
+from hoisthook.mesh.incarnation_records import BackendState
 
 if TYPE_CHECKING:
-    from hoisthook.mesh.observed_backend import Announcement
+    from hoisthook.mesh.announcement import Announcement
     from hoisthook.mesh.observed_backend import ObservedBackend
 
 # Announcements are seconds late at most: one that arrives this long after the start was sent later.
--- a/src/hoisthook/mesh/backend_link.py
+++ b/src/hoisthook/mesh/backend_link.py
@@ -20,8 +20,9 @@
 from hoisthook.mesh.health_reader import UNREACHABLE_BACKOFF_SECONDS
 from hoisthook.mesh.health_reader import HealthReader
 from hoisthook.mesh.hop_header import Admission
+from hoisthook.mesh.incarnation_records import AnnouncementEffect
+from hoisthook.mesh.incarnation_records import BackendState
 from hoisthook.mesh.node_load import NodeLoad
-from hoisthook.mesh.observed_backend import BackendState
 from hoisthook.mesh.observed_backend import ObservedBackend
 from hoisthook.mesh.outcome import CompleteAnswer
 from hoisthook.mesh.service_evidence import ServiceEvidence
@@ -46,7 +47,7 @@
     from hoisthook.local_backend.repeat_limit import RepeatLimit
     from hoisthook.measure.measure_budget import MeasureBudget
     from hoisthook.membership.backend_incarnation import BackendIncarnation
-    from hoisthook.mesh.observed_backend import Announcement
+    from hoisthook.mesh.announcement import Announcement
     from hoisthook.mesh.outcome import Outcome
     from hoisthook.mesh.routed_call import RoutedCall
     from hoisthook.port.backend_wire import BackendWire
@@ -163,6 +164,7 @@
         self.observed_backend.on_unreachable(self._successor_probe.start)
         self._admitter = Admitter(self._speed, self.health, budget, settings.usable_share, clock)
         self.observed_backend.on_replaced(self._replaced)
+        self.observed_backend.on_contradicted(self._ask_who_answers)
         self.health.on_cold(self._update_cold_state)
         self._notices.on_limit(self._apply_rate_limit)
         if settings.cold_factor > 0:
@@ -184,11 +186,12 @@
         """Return the gate that assigns the slots of the backend server."""
         return self._admitter.gate
 
-    def announced(self, announcement: Announcement) -> None:
+    def announced(self, announcement: Announcement) -> AnnouncementEffect:
         """Apply an announcement of the backend server, once it is confirmed if that is needed.
 
         Which service its sender belongs to is known at once, however late it arrives.
         """
+        effect = AnnouncementEffect.APPLIED
         self.observed_backend.evidence.announced(announcement.instance)
         self.observed_backend.service_shown(announcement.instance)
         if self._claim.holds_back(announcement, self._clock.now()):
@@ -199,8 +202,9 @@
             )
             self._confirming.start(self._confirm_announcement())
         else:
-            self._apply_announcement(announcement)
+            effect = self._apply_announcement(announcement)
         self._update_gate()
+        return effect
 
     def announced_elsewhere(self, instance: InstanceId) -> None:
         """Apply an announcement that names a service other than that of this node."""
@@ -217,10 +221,11 @@
         self._claim.history_known()
         self._update_gate()
 
-    def deregistered(self, incarnation: BackendIncarnation) -> None:
-        """Apply the deregistration of an incarnation of the backend server."""
-        self.observed_backend.deregistered(incarnation)
+    def deregistered(self, incarnation: BackendIncarnation) -> bool:
+        """Apply the deregistration of an incarnation; return False if a later one is known."""
+        is_latest = self.observed_backend.deregistered(incarnation)
         self._update_gate()
+        return is_latest
 
     def apply_traits(self, traits: ServiceTraits | None) -> None:
         """Apply the operators' configuration of the service; None if there is none."""
@@ -428,9 +433,24 @@
         await self._admitter.read()
         self._update_gate()
 
-    def _apply_announcement(self, announcement: Announcement) -> None:
-        if self.observed_backend.announced(announcement):
-            self.gate.cold.announced(announcement.cold_seconds, self._clock.now())
+    def _apply_announcement(self, announcement: Announcement) -> AnnouncementEffect:
+        effect = self.observed_backend.announced(announcement)
+        if effect is AnnouncementEffect.APPLIED:
+            self._apply_announced_cold()
+        return effect
+
+    def _apply_announced_cold(self) -> None:
+        cold_seconds = self.observed_backend.announced_cold_seconds
+        self.gate.cold.announced(cold_seconds, self._clock.now())
+
+    def _ask_who_answers(self, announced: InstanceId) -> None:
+        self._confirming.start(self._confirm_instance(announced))
+
+    async def _confirm_instance(self, announced: InstanceId) -> None:
+        asked_at = self.observed_backend.evidence.now()
+        await self._admitter.read()
+        self.observed_backend.follow_unless_shown(announced, asked_at)
+        self._update_gate()
 
     def _update_gate(self) -> None:
         announcement = self._claim.take_confirmed()
@@ -446,6 +466,7 @@
         self.exit_detector.replaced()
         self._speed.reset()
         self.gate.cold.forget()
+        self._apply_announced_cold()
         self._notices.forget()
         self._pool.forget(self._address)
 
--- a/src/hoisthook/mesh/health_reader.py
+++ b/src/hoisthook/mesh/health_reader.py
@@ -135,10 +135,11 @@
         head, _ = answer
         self._observed_backend.has_answered = True
         reading = self._wire.read(head)
-        if head.status >= UNHEALTHY_STATUS:
+        is_healthy = head.status < UNHEALTHY_STATUS
+        if reading.instance is not None:
+            self._observed_backend.answered_as(reading.instance, sent_at, is_healthy=is_healthy)
+        elif not is_healthy:
             self._observed_backend.reported_unhealthy()
-        elif reading.instance is not None:
-            self._observed_backend.answered_as(reading.instance, sent_at)
         # An answer that refuses for lack of slots may leave out that the server is cold.
         if self._on_cold is not None and (head.status == OK or reading.cold_seconds > 0):
             self._on_cold(reading.cold_seconds, requested_at)
--- a/src/hoisthook/mesh/observed_backend.py
+++ b/src/hoisthook/mesh/observed_backend.py
@@ -4,24 +4,26 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from hoisthook.membership.backend_incarnation import BackendIncarnation
-from hoisthook.mesh.withdrawal import Withdrawal
+from hoisthook.mesh.announcement import Announcement
+from hoisthook.mesh.incarnation_records import AnnouncementEffect
+from hoisthook.mesh.incarnation_records import BackendState
+from hoisthook.mesh.incarnation_records import IncarnationRecords
+from hoisthook.mesh.withdrawals import Withdrawals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from hoisthook.identity import InstanceId
+    from hoisthook.mesh.incarnation_records import IncarnationRecord
     from hoisthook.mesh.service_evidence import ServiceEvidence
+    from hoisthook.mesh.withdrawal import Withdrawal
     from hoisthook.port.backend_wire import BackendLoad
     from hoisthook.port.event_log import EventLog
 
-# Former incarnations whose late announcements are recognised; more than start within a minute.
-MAX_FORMER_INCARNATIONS = 16
 # Number of recent answers over which the share of failures is computed.
 RECENT_ANSWERS = 12
 # With fewer answers the share of failures is taken to be 0.
@@ -35,68 +37,13 @@
 MAX_DROPPED_BACKOFF_SECONDS = 0.6
 
 
-class BackendState(Enum):
-    """States of the local backend server.
-
-    ``UNIDENTIFIED``: an incarnation answers whose service is not known. ``FOREIGN``: it belongs to
-    another service.
-    """
-
-    UNKNOWN = "unknown"
-    UNIDENTIFIED = "unidentified"
-    FOREIGN = "foreign"
-    READY = "ready"
-    DRAINING = "draining"
-    GONE = "gone"
-
-
-_STATES_WITHOUT_SERVICE = frozenset({BackendState.UNIDENTIFIED, BackendState.FOREIGN})
-
-
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """An announcement by which a backend server reports its state.
-
-    Attributes
-    ----------
-    instance : InstanceId
-        Id of its incarnation.
-    sequence : int
-        Sequence number, which increases with each announcement of an incarnation.
-    draining : bool
-        Whether it takes no new requests.
-    slots : int
-        Number of requests that it can run at once.
-    cold_seconds : float
-        Remaining seconds of its cold start, in which it is slow.
-    born : int or None
-        Unix milliseconds of its start; None if it does not report them.
-    """
-
-    instance: InstanceId
-    sequence: int
-    draining: bool
-    slots: int
-    cold_seconds: float
-    born: int | None = None
-
-    @property
-    def incarnation(self) -> BackendIncarnation:
-        """Return the incarnation that sent it."""
-        return BackendIncarnation(self.instance, self.born)
-
-
-@dataclass(frozen=True, slots=True)
-class _FormerIncarnation:
-    """An incarnation other than the current one, and its last known state."""
-
-    incarnation: BackendIncarnation
-    state: BackendState
-
-
 class ObservedBackend:
     """State, incarnation, slots and recent failures of the local backend server.
 
+    Answers show which incarnation runs; an announcement says what its sender was when it sent it,
+    which may have been long ago. So an announcement changes the record of its own sender, and
+    decides which incarnation is the current one only as long as no answer has shown it.
+
     Parameters
     ----------
     evidence : ServiceEvidence
@@ -108,6 +55,8 @@
     ----------
     evidence : ServiceEvidence
         Which incarnations belong to the service of this node.
+    withdrawals : Withdrawals
+        Withdrawals in force.
     state : BackendState
         Last known state.
     slots : int
@@ -120,21 +69,22 @@
 
     def __init__(self, evidence: ServiceEvidence, log: EventLog) -> None:
         self.evidence = evidence
+        self.withdrawals = Withdrawals()
         self._log = log
-        self._former_by_instance: dict[InstanceId, _FormerIncarnation] = {}
-        self._current: BackendIncarnation | None = None
+        self._records = IncarnationRecords()
+        self._current: IncarnationRecord | None = None
+        # Whether the current incarnation has answered since it became the current one.
+        self._is_shown = False
+        # Time from which an exchange must have been sent to show another incarnation.
+        self._identified_at = -math.inf
+        self._is_leaving_unnamed = False
         self._on_replaced: list[Callable[[], None]] = []
-        self._withdrawal_by_instance: dict[InstanceId, Withdrawal] = {}
-        self._on_withdrawn: list[Callable[[], None]] = []
         self._on_identified: list[Callable[[], None]] = []
         self._on_unreachable: list[Callable[[], None]] = []
-        self._sequence = -1
-        # Time from which an exchange must have been sent to show another incarnation.
-        self._identified_at = -math.inf
+        self._on_contradicted: list[Callable[[InstanceId], None]] = []
         self._recent_failures: deque[bool] = deque(maxlen=RECENT_ANSWERS)
         self._dropped_in_a_row = 0
         self._dropped_backoff = INITIAL_DROPPED_BACKOFF_SECONDS
-        self._is_leaving = False
         self.has_answered = False
         self.state = BackendState.UNKNOWN
         self.slots = 0
@@ -143,7 +93,7 @@
     @property
     def instance(self) -> InstanceId | None:
         """Return the id of the current incarnation; None if none is known."""
-        return None if self._current is None else self._current.instance
+        return None if self._current is None else self._current.incarnation.instance
 
     @property
     def identified_instance(self) -> InstanceId | None:
@@ -152,27 +102,6 @@
         is_identified = instance is not None and self.evidence.shows_service(instance)
         return instance if is_identified else None
 
-    def on_replaced(self, listener: Callable[[], None]) -> None:
-        """Register ``listener`` to be called when an incarnation becomes the current one."""
-        self._on_replaced.append(listener)
-
-    def on_identified(self, listener: Callable[[], None]) -> None:
-        """Register ``listener`` to be called when the current incarnation is identified."""
-        self._on_identified.append(listener)
-
-    def on_unreachable(self, listener: Callable[[], None]) -> None:
-        """Register ``listener`` to be called when no request can be sent to it."""
-        self._on_unreachable.append(listener)
-
-    def on_withdrawn(self, listener: Callable[[], None]) -> None:
-        """Register ``listener`` to be called when an incarnation withdraws."""
-        self._on_withdrawn.append(listener)
-
-    @property
-    def withdrawals(self) -> list[Withdrawal]:
-        """Return the withdrawals in force, oldest first."""
-        return list(self._withdrawal_by_instance.values())
-
     @property
     def takes_work(self) -> bool:
         """Return whether new requests may be sent to it."""
@@ -185,103 +114,111 @@
             return 0.0
         return sum(self._recent_failures) / len(self._recent_failures)
 
-    def announced(self, announcement: Announcement) -> bool:
-        """Apply an announcement; return whether it is newer than the known state.
+    @property
+    def announced_cold_seconds(self) -> float:
+        """Return the remaining seconds of the cold start that the current incarnation announced."""
+        return 0.0 if self._current is None else self._current.cold_seconds(self.evidence.now())
+
+    def on_replaced(self, listener: Callable[[], None]) -> None:
+        """Register ``listener`` to be called when an incarnation becomes the current one."""
+        self._on_replaced.append(listener)
+
+    def on_identified(self, listener: Callable[[], None]) -> None:
+        """Register ``listener`` to be called when the current incarnation is identified."""
+        self._on_identified.append(listener)
+
+    def on_unreachable(self, listener: Callable[[], None]) -> None:
+        """Register ``listener`` to be called when no request can be sent to it."""
+        self._on_unreachable.append(listener)
+
+    def on_contradicted(self, listener: Callable[[InstanceId], None]) -> None:
+        """Register ``listener`` for announcements of an incarnation other than the one shown.
 
-        A later incarnation under the same id starts with a new sequence, and neither the drain nor
-        the deregistration of the earlier one applies to it. Late announcements of the earlier
-        incarnation are ignored.
+        Either the incarnation that announces itself has replaced it, or its announcement is late.
         """
+        self._on_contradicted.append(listener)
+
+    def announced(self, announcement: Announcement) -> AnnouncementEffect:
+        """Apply an announcement to its sender, and follow it unless another one is shown to run."""
         self.evidence.announced(announcement.instance)
-        return self._apply_announcement(announcement)
+        effect = self._records.announced(announcement, self.evidence.now())
+        record = self._records.find(announcement.instance)
+        if effect is not AnnouncementEffect.APPLIED or record is None:
+            return effect
+        if record is self._current:
+            self.slots = announcement.slots
+            self._update_state(sequence=announcement.sequence)
+        elif self._follows(record):
+            self._replace(record, "announced")
+        else:
+            for listener in self._on_contradicted:
+                listener(announcement.instance)
+        if record.state() is BackendState.READY:
+            self.withdrawals.remove(announcement.instance)
+        else:
+            sequence = None if record.is_leaving else announcement.sequence
+            self.withdrawals.add(record.incarnation, sequence)
+        return effect
 
     def announced_elsewhere(self, instance: InstanceId) -> None:
         """Record that an incarnation announces a service other than that of this node."""
         self.evidence.announced_elsewhere(instance)
         if instance == self.instance:
-            self._set_state(BackendState.FOREIGN)
+            self._update_state()
 
     def recorded(self, instance: InstanceId) -> None:
         """Apply that an earlier process of this node has identified an incarnation."""
         self.evidence.recorded(instance)
-        if self.evidence.shows_service(instance):
-            self.service_shown(instance)
+        self.service_shown(instance)
 
     def service_shown(self, instance: InstanceId) -> None:
-        """Apply new evidence that an incarnation belongs to the service of this node.
-
-        One that has answered already is ready from now on.
-        """
+        """Apply new evidence for the service of an incarnation, if it is the current one."""
         if instance == self.instance and self.state is BackendState.UNIDENTIFIED:
-            self._set_state(BackendState.READY)
+            self._update_state()
             self._notify_identified()
 
-    def _apply_announcement(self, announcement: Announcement) -> bool:
-        incarnation = announcement.incarnation
-        former = self._former_by_instance.get(incarnation.instance)
-        if former is not None and not incarnation.is_later_than(former.incarnation):
-            return False
-        current = self._current
-        if (
-            current is None
-            or incarnation.instance != current.instance
-            or incarnation.is_later_than(current)
-        ):
-            self._replace(incarnation, "announced")
-        elif current.is_later_than(incarnation) or announcement.sequence <= self._sequence:
+    def deregistered(self, incarnation: BackendIncarnation) -> bool:
+        """Record the deregistration of an incarnation; return False if a later one is known."""
+        record = self._records.of(incarnation)
+        if record is None:
             return False
-        elif current.born is None:
-            # Known only from its answers so far, which do not carry the time of its start.
-            self._current = incarnation
-        self._sequence = announcement.sequence
-        self.slots = announcement.slots
-        is_draining = announcement.draining or self._is_leaving
-        state = BackendState.DRAINING if is_draining else BackendState.READY
-        self._set_state(state, sequence=announcement.sequence)
-        if is_draining:
-            self._withdraw(incarnation, None if self._is_leaving else announcement.sequence)
-        else:
-            self._withdrawal_by_instance.pop(incarnation.instance, None)
+        record.is_gone = True
+        if self._current is None or record is self._current:
+            self._current = record
+            self._update_state()
+        self.withdrawals.add(record.incarnation)
         return True
 
-    def deregistered(self, incarnation: BackendIncarnation) -> None:
-        """Record the deregistration of an incarnation; later ones under its id are unaffected."""
-        current = self._current
-        if current is not None and current.is_later_than(incarnation):
-            return
-        if current is None or current.instance == incarnation.instance:
-            if incarnation.born is None and current is not None:
-                incarnation = current
-            self._current = incarnation
-            self._set_state(BackendState.GONE)
-        self._record_former(incarnation, BackendState.GONE)
-        self._withdraw(incarnation)
-
     def restore(self, withdrawals: Iterable[Withdrawal]) -> None:
         """Apply withdrawals that earlier processes of this node were told of, oldest first.
 
         The newest one determines the current incarnation, unless this process knows a later one.
         """
         for withdrawal in reversed(list(withdrawals)):
-            if self.instance not in (None, withdrawal.instance):
-                self._withdraw(withdrawal.incarnation, withdrawal.sequence)
-                state = BackendState.GONE if withdrawal.is_final else BackendState.DRAINING
-                self._record_former(withdrawal.incarnation, state)
-            elif withdrawal.sequence is None:
-                self.deregistered(withdrawal.incarnation)
+            self.withdrawals.add(withdrawal.incarnation, withdrawal.sequence)
+            record = self._records.of(withdrawal.incarnation)
+            if record is None:
+                continue
+            if withdrawal.sequence is None:
+                record.is_gone = True
             else:
-                self._apply_announcement(
-                    Announcement(
-                        withdrawal.instance,
-                        withdrawal.sequence,
-                        draining=True,
-                        slots=self.slots,
-                        cold_seconds=0.0,
-                        born=withdrawal.born,
-                    )
+                draining = Announcement(
+                    withdrawal.instance,
+                    withdrawal.sequence,
+                    draining=True,
+                    slots=self.slots,
+                    cold_seconds=0.0,
+                    born=withdrawal.born,
                 )
-
-    def answered_as(self, instance: InstanceId, sent_at: float) -> None:
+                self._records.announced(draining, self.evidence.now())
+            if self._current is None:
+                self._replace(record, "withdrawn")
+            elif record is self._current:
+                self._update_state()
+
+    def answered_as(
+        self, instance: InstanceId, sent_at: float, *, is_healthy: bool | None = None
+    ) -> None:
         """Record which incarnation answers at the address.
 
         An incarnation that answers becomes the current one, with its last known state, even if a
@@ -294,30 +231,41 @@
             The incarnation.
         sent_at : float
             Time before the request was sent, on the clock of the evidence.
+        is_healthy : bool or None
+            Whether it has answered a health check well; None if it has answered something else.
         """
         self.evidence.answered(instance, sent_at)
-        former = self._former_by_instance.get(instance)
-        if instance == self.instance:
+        record = self._records.find(instance)
+        if record is None:
+            record = self._records.of(BackendIncarnation(instance))
+            assert record is not None
+        if is_healthy is not None:
+            record.is_unhealthy = not is_healthy
+        if record is self._current:
             self._identified_at = max(self._identified_at, sent_at)
-            if self.evidence.shows_service(instance):
-                self.service_shown(instance)
-        elif sent_at < self._identified_at:
-            # The answer was in transit while another incarnation took over.
+            self._is_shown = True
+            self._update_state()
+            self.service_shown(instance)
+        elif sent_at >= self._identified_at and not record.is_gone:
+            # An earlier one was in transit while another incarnation took over.
+            self._replace(record, "answered", sent_at)
+
+    def follow_unless_shown(self, instance: InstanceId, since: float) -> None:
+        """Follow the announcement of an incarnation if none has answered since.
+
+        Parameters
+        ----------
+        instance : InstanceId
+            The incarnation.
+        since : float
+            Time on the clock of the evidence.
+        """
+        record = self._records.find(instance)
+        is_shown = self._is_shown and self._identified_at >= since
+        if record is None or record is self._current or is_shown or self.takes_work:
             return
-        elif former is None or former.state is not BackendState.GONE:
-            known = BackendIncarnation(instance) if former is None else former.incarnation
-            self._replace(known, "answered", sent_at)
-            self._set_state(self._state_by_evidence(instance, former))
-
-    def _state_by_evidence(
-        self, instance: InstanceId, former: _FormerIncarnation | None
-    ) -> BackendState:
-        if not self.evidence.shows_service(instance):
-            is_known = self.evidence.of(instance) is not None
-            return BackendState.FOREIGN if is_known else BackendState.UNIDENTIFIED
-        if former is None or former.state in _STATES_WITHOUT_SERVICE:
-            return BackendState.READY
-        return former.state
+        if record.state() is BackendState.READY:
+            self._replace(record, "announced")
 
     def reported_leaving(self) -> None:
         """Set a backend server whose answers say that it leaves to draining, for good.
@@ -325,21 +273,19 @@
         It may go on announcing that it is ready, and no answer will tell otherwise once it is sent
         nothing; only another incarnation takes work again.
         """
-        self._is_leaving = True
-        if self.takes_work:
+        if self._current is None:
+            self._is_leaving_unnamed = True
             self._set_state(BackendState.DRAINING, leaving=True)
-        if self._current is not None:
-            self._withdraw(self._current)
+            return
+        self._current.is_leaving = True
+        self._update_state(leaving=True)
+        self.withdrawals.add(self._current.incarnation)
 
     def reported_unhealthy(self) -> None:
         """Set an unhealthy backend server to draining while its state is unknown."""
         if self.state is BackendState.UNKNOWN:
             self._set_state(BackendState.DRAINING)
 
-    def forget_withdrawal(self, instance: InstanceId) -> None:
-        """Discard the withdrawal of a former incarnation that no announcement can follow."""
-        self._withdrawal_by_instance.pop(instance, None)
-
     def load_reported(self, load: BackendLoad) -> None:
         """Apply the number of slots in a load report."""
         if load.slots > 0:
@@ -373,31 +319,51 @@
         for listener in self._on_unreachable:
             listener()
 
-    def _replace(
-        self, incarnation: BackendIncarnation, how: str, sent_at: float | None = None
-    ) -> None:
+    def _follows(self, record: IncarnationRecord) -> bool:
+        """Return whether an announcement makes its sender the current incarnation."""
+        current = self._current
+        if current is None or record.incarnation.is_later_than(current.incarnation):
+            return True
+        if self._is_shown or record.state() is not BackendState.READY:
+            return False
+        born, current_born = record.incarnation.born, current.incarnation.born
+        return born is None or current_born is None or born > current_born
+
+    def _state_of(self, record: IncarnationRecord) -> BackendState:
+        state = record.state()
+        evidence = self.evidence.of(record.incarnation.instance)
+        if state is not BackendState.READY or (evidence is not None and evidence.shows_service):
+            return state
+        return BackendState.UNIDENTIFIED if evidence is None else BackendState.FOREIGN
+
+    def _update_state(self, **fields: object) -> None:
+        if self._current is not None:
+            self._set_state(self._state_of(self._current), **fields)
+
+    def _replace(self, record: IncarnationRecord, how: str, sent_at: float | None = None) -> None:
         before = self._current
-        if before is not None and before.instance != incarnation.instance:
-            self._record_former(before, self.state)
-        self._former_by_instance.pop(incarnation.instance, None)
-        self._current = incarnation
+        self._current = record
+        self._is_shown = sent_at is not None
         self._identified_at = self.evidence.now() if sent_at is None else sent_at
         # What was reported before any incarnation was known was reported by this one.
-        self._is_leaving = self._is_leaving and before is None
-        self._sequence = -1
+        record.is_leaving = record.is_leaving or self._is_leaving_unnamed
+        self._is_leaving_unnamed = False
+        if record.announcement is not None:
+            self.slots = record.announcement.slots
         self._recent_failures.clear()
         self._dropped_in_a_row = 0
         self._dropped_backoff = INITIAL_DROPPED_BACKOFF_SECONDS
         self.unavailable_until = -math.inf
         self._log.event(
             "backend_instance",
-            instance=incarnation.instance,
-            born=incarnation.born,
-            before=None if before is None else before.instance,
+            instance=record.incarnation.instance,
+            born=record.incarnation.born,
+            before=None if before is None else before.incarnation.instance,
             how=how,
             how_age=self._age(sent_at),
-            **self._evidence_fields(incarnation.instance),
+            **self._evidence_fields(record.incarnation.instance),
         )
+        self._update_state()
         for listener in self._on_replaced:
             listener()
         self._notify_identified()
@@ -416,30 +382,6 @@
     def _age(self, since: float | None) -> float | None:
         return None if since is None else round(self.evidence.now() - since, 3)
 
-    def _withdraw(self, incarnation: BackendIncarnation, sequence: int | None = None) -> None:
-        known = self._withdrawal_by_instance.get(incarnation.instance)
-        is_known = known is not None and not incarnation.is_later_than(known.incarnation)
-        if known is not None and is_known and (known.is_final or sequence is not None):
-            return
-        self._withdrawal_by_instance.pop(incarnation.instance, None)
-        withdrawal = Withdrawal(incarnation.instance, incarnation.born, sequence)
-        self._withdrawal_by_instance[incarnation.instance] = withdrawal
-        while len(self._withdrawal_by_instance) > MAX_FORMER_INCARNATIONS:
-            del self._withdrawal_by_instance[next(iter(self._withdrawal_by_instance))]
-        for listener in self._on_withdrawn:
-            listener()
-
-    def _record_former(self, incarnation: BackendIncarnation, state: BackendState) -> None:
-        # A deregistration stays in force whatever arrives later from the same incarnation.
-        former = self._former_by_instance.get(incarnation.instance)
-        if former is not None and former.incarnation.is_later_than(incarnation):
-            return
-        is_final = former is not None and former.state is BackendState.GONE
-        if former is None or not is_final or incarnation.is_later_than(former.incarnation):
-            self._former_by_instance[incarnation.instance] = _FormerIncarnation(incarnation, state)
-        while len(self._former_by_instance) > MAX_FORMER_INCARNATIONS:
-            del self._former_by_instance[next(iter(self._former_by_instance))]
-
     def _set_state(self, state: BackendState, **fields: object) -> None:
         if state is self.state:
             return
--- a/src/hoisthook/mesh/service_evidence.py
+++ b/src/hoisthook/mesh/service_evidence.py
@@ -46,6 +46,11 @@
     source: EvidenceSource
     since: float
 
+    @property
+    def shows_service(self) -> bool:
+        """Return whether the incarnation belongs to the service of this node."""
+        return self.source is not EvidenceSource.FOREIGN
+
 
 class ServiceEvidence:
     """Decides which incarnations are known to belong to the service of this node.
@@ -81,7 +86,7 @@
     def shows_service(self, instance: InstanceId) -> bool:
         """Return whether an incarnation is known to belong to the service of this node."""
         evidence = self.of(instance)
-        return evidence is not None and evidence.source is not EvidenceSource.FOREIGN
+        return evidence is not None and evidence.shows_service
 
     @property
     def succession_seconds(self) -> float:
--- a/src/hoisthook/mesh/withdrawal_records.py
+++ b/src/hoisthook/mesh/withdrawal_records.py
@@ -114,7 +114,7 @@
         self._is_writing = False
         self._on_read: list[Callable[[], None]] = []
         self.is_read = False
-        observed_backend.on_withdrawn(self._write_missing)
+        observed_backend.withdrawals.on_added(self._write_missing)
 
     def on_read(self, listener: Callable[[], None]) -> None:
         """Register ``listener`` to be called when the earlier withdrawals become known."""
@@ -256,7 +256,7 @@
         except StoreUnavailableError:
             return False
         self._stored_by_instance.pop(instance, None)
-        self._observed_backend.forget_withdrawal(instance)
+        self._observed_backend.withdrawals.remove(instance)
         return True
 
     def _key(self, instance: InstanceId) -> str:
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -330,6 +330,13 @@
         "A backend server names a limit that is not a decimal number; it is ignored.",
         "Correct the backend server.",
     )
+    ANNOUNCEMENT_SUPERSEDED = CodeEntry(
+        4013,
+        0,
+        Ran.NOT_RUN,
+        "An announcement of an earlier incarnation under the same id binds nobody.",
+        "Check the clock of its sender if that still runs.",
+    )
 
     SETTINGS_UNREADABLE = CodeEntry(
         5001, 0, Ran.NOT_RUN, "The settings file cannot be read.", "Check path and permissions."
--- a/tests/local_backend/test_exit_detector.py
+++ b/tests/local_backend/test_exit_detector.py
@@ -14,7 +14,7 @@
 from hoisthook.local_backend.exit_detector import PENDING_SECONDS
 from hoisthook.local_backend.exit_detector import ExitDetector
 from hoisthook.local_backend.exit_detector import LostRequest
-from hoisthook.mesh.observed_backend import Announcement
+from hoisthook.mesh.announcement import Announcement
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_system import ListLog
 from tests.observed_backends import make_observed_backend
--- a/tests/mesh/test_departures.py
+++ b/tests/mesh/test_departures.py
@@ -10,7 +10,7 @@
 
 from hoisthook.mesh import announcement_claim
 from hoisthook.mesh import withdrawal_records
-from hoisthook.mesh.observed_backend import BackendState
+from hoisthook.mesh.incarnation_records import BackendState
 from standin.mesh_store import Outage
 from standin.mesh_system import NODES_TOPIC
 from standin.published_configuration import RouteOptions
--- a/tests/mesh/test_incarnations.py
+++ b/tests/mesh/test_incarnations.py
@@ -10,8 +10,9 @@
 
 from hoisthook.identity import InstanceId
 from hoisthook.membership.backend_incarnation import BackendIncarnation
-from hoisthook.mesh.observed_backend import Announcement
-from hoisthook.mesh.observed_backend import BackendState
+from hoisthook.mesh.announcement import Announcement
+from hoisthook.mesh.incarnation_records import AnnouncementEffect
+from hoisthook.mesh.incarnation_records import BackendState
 from standin.published_configuration import RouteOptions
 from tests.observed_backends import make_observed_backend
 
@@ -30,7 +31,8 @@
     observed_backend = make_observed_backend()
     observed_backend.announced(announcement(EARLIER, 400))
     observed_backend.announced(announcement(LATER, 1))
-    assert observed_backend.announced(announcement(LATER, 2, draining=True))
+    effect = observed_backend.announced(announcement(LATER, 2, draining=True))
+    assert effect is AnnouncementEffect.APPLIED
     assert observed_backend.state is BackendState.DRAINING
 
 
@@ -45,7 +47,8 @@
 def test_late_messages_of_an_earlier_incarnation_are_ignored() -> None:
     observed_backend = make_observed_backend()
     observed_backend.announced(announcement(LATER, 1))
-    assert not observed_backend.announced(announcement(EARLIER, 401, draining=True))
+    effect = observed_backend.announced(announcement(EARLIER, 401, draining=True))
+    assert effect is AnnouncementEffect.SUPERSEDED
     observed_backend.deregistered(BackendIncarnation(SAME, EARLIER))
     assert observed_backend.takes_work
 
--- a/tests/mesh/test_leaving.py
+++ b/tests/mesh/test_leaving.py
@@ -15,8 +15,8 @@
 from hoisthook.membership.backend_incarnation import BackendIncarnation
 from hoisthook.mesh import mesh_node
 from hoisthook.mesh import peer_hop
+from hoisthook.mesh.announcement import Announcement
 from hoisthook.mesh.hop_header import Admission
-from hoisthook.mesh.observed_backend import Announcement
 from hoisthook.mesh.outcome import CompleteAnswer
 from hoisthook.mesh.routed_call import RoutedCall
 from hoisthook.node.call import Refused
--- a/tests/mesh/test_reused_address.py
+++ b/tests/mesh/test_reused_address.py
@@ -9,9 +9,9 @@
 
 from hoisthook.identity import InstanceId
 from hoisthook.mesh import registration
+from hoisthook.mesh.announcement import Announcement
 from hoisthook.mesh.hop_header import Admission
-from hoisthook.mesh.observed_backend import Announcement
-from hoisthook.mesh.observed_backend import BackendState
+from hoisthook.mesh.incarnation_records import BackendState
 from hoisthook.mesh.service_evidence import EvidenceSource
 from hoisthook.node.call import Refused
 from standin.published_configuration import RouteOptions
