A 421 of the next server does not rule out the exit of the former one

A request that was lost as its server crashed is kept until it is known whether the server exited; the 421 of a successor that is up at once discarded it, so that a crash counted for none of the work that ran.

Test: test_answer_of_the_next_server_does_not_rule_out_the_exit_of_the_former, which fails without the change (no `backend_ended`).

--- a/src/hoisthook/local_backend/backend_exchange.py
+++ b/src/hoisthook/local_backend/backend_exchange.py
@@ -165,10 +165,11 @@
             self._record_lost(call, answer, instance, seconds, is_dropped=is_dropped, reused=reused)
             return ExchangeResult(answer, seconds)
         self._pool.keep(self._address, connection)
-        self._exit_detector.answered(instance, started)
         head, body = answer
         self._observed_backend.has_answered = True
         reading = self._wire.read(head)
+        if reading.kind is not AnswerKind.OTHER_INSTANCE:
+            self._exit_detector.answered(instance, started)
         answered_by = _answered_by(reading, head.status, instance)
         if answered_by is not None:
             self._observed_backend.answered_as(answered_by, sent_at)
--- a/tests/mesh/test_reused_address.py
+++ b/tests/mesh/test_reused_address.py
@@ -14,6 +14,7 @@
 from hoisthook.mesh.incarnation_records import BackendState
 from hoisthook.mesh.service_evidence import EvidenceSource
 from hoisthook.node.call import Refused
+from standin.mesh_backend import Fault
 from standin.published_configuration import RouteOptions
 from tests.fakes import FakeClock
 from tests.mesh.test_first_answer import request
@@ -135,6 +136,21 @@
     assert len(shop.backend.arrivals) == arrivals
 
 
+async def test_answer_of_the_next_server_does_not_rule_out_the_exit_of_the_former(
+    system: MeshSystem,
+) -> None:
+    """Guards against crashes that count for no request, as the successor is up at once."""
+    ingress, shop = await ingress_and_shop(system)
+    shop.backend.fault = Fault.RESET
+    assert (await system.call(ingress, request_id="lost"))[0] == 502
+    shop.backend.fault = Fault.NONE
+    shop.backend.instance = "successor"
+    await system.call(ingress, deadline_ms=400)
+    (ended,) = system.log.named("backend_ended")
+    assert ended["how"] == "replaced"
+    assert "lost" in ended["requests"]
+
+
 def announcement(instance: InstanceId, sequence: int = 1) -> Announcement:
     return Announcement(instance, sequence, draining=False, slots=4, cold_seconds=0.0)
 
