Closing a connection that was reset raises nothing

The error left `exchange_buffered` in place of the outcome, so that a request whose server resets its connection at the moment of its deadline ends without an answer.

Change: a connection that can't be half-closed is aborted. Test: test_cancelled_request_on_a_ connection_that_was_reset_ends_at_once, which fails without the change.

--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -155,15 +155,22 @@
         """
         if self.closed:
             return
-        if self._transport is not None:
-            if self._parser is None or self._complete:
-                self._transport.abort()
-            else:
-                self._transport.write_eof()
-                loop = asyncio.get_running_loop()
-                self._abort_timer = loop.call_later(CANCEL_TIMEOUT_SECONDS, self._transport.abort)
+        is_idle = self._parser is None or self._complete
+        if self._transport is not None and (is_idle or not self._half_close()):
+            self._transport.abort()
         self._mark_closed("connection closed by this side")
 
+    def _half_close(self) -> bool:
+        """Signal the end of the stream; return False if the other side has reset it already."""
+        assert self._transport is not None
+        try:
+            self._transport.write_eof()
+        except OSError:
+            return False
+        loop = asyncio.get_running_loop()
+        self._abort_timer = loop.call_later(CANCEL_TIMEOUT_SECONDS, self._transport.abort)
+        return True
+
     def on_fully_closed(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` once both sides have closed the connection, or now if they have."""
         if self._fully_closed:
--- a/tests/adapter/http/test_client_connection.py
+++ b/tests/adapter/http/test_client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import TYPE_CHECKING
 
 import pytest
@@ -122,6 +123,25 @@
     await asyncio.wait_for(fully_closed.wait(), 5)
 
 
+async def test_cancelled_request_on_a_connection_that_was_reset_ends_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an error from `close` before the loop has noticed the reset."""
+    server = Server([COMPLETE_ANSWER[:-1]])
+    connection = await ClientPool().acquire(await server.start(), 1.0)
+    await connection.send(REQUEST)
+    fully_closed = asyncio.Event()
+    connection.on_fully_closed(fully_closed.set)
+
+    def not_connected() -> None:
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    monkeypatch.setattr(connection._transport, "write_eof", not_connected)
+    connection.close()
+    assert connection.closed
+    await asyncio.wait_for(fully_closed.wait(), 5)
+
+
 async def test_interim_answer_is_skipped() -> None:
     interim = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"
     address = await Server([interim + COMPLETE_ANSWER]).start()
