The soak gives addresses of backend servers to another service and back

`--reusing`: servers end, after 2 s a server of another service answers at the address, with heartbeats, late ones or none, beside a late heartbeat of the former server and kills of the node; then the first service is back. Checked: no request runs at the other service. The series are a list now.

--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -31,6 +31,8 @@
 
 PROGRAM = Path(__file__).resolve().parent.parent / "platform" / "run_node.py"
 HEARTBEAT_SECONDS = 0.5
+# Time after the end of a backend server within which its address keeps its service.
+REUSE_AFTER_SECONDS = 2.0
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.05
 TOPIC = "keyed.op"
@@ -254,6 +256,7 @@
 metrics = "{instance.metrics}"
 [backend_server]
 address = "{format_address(instance.backend.address)}"
+reuse_after_seconds = {REUSE_AFTER_SECONDS}
 [store]
 address = "{instance.store}"
 configuration_topic = "{TOPIC}"
--- a/standin/soak.py
+++ b/standin/soak.py
@@ -1,7 +1,7 @@
 """Soak test: runs real nodes under random faults and checks what callers and servers observe.
 
 Usage: python -m standin.soak [--seed N] [--seeds COUNT] [--seconds S] [--crashing] [--rejecting]
-           [--limiting] [--departing]
+           [--limiting] [--departing] [--reusing]
 
 Prints one line per seed; the exit status is 1 if a guarantee was violated. Faults are
 injected from outside the nodes: signals, proxies between nodes and in front of the store,
@@ -45,12 +45,14 @@
 from standin.soak_load import SoakResults
 from standin.soak_repeats import RejectingService
 from standin.soak_repeats import check_repeats
+from standin.soak_reuse import ReusedAddresses
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
     from standin.mesh_cluster import MeshInstance
+    from standin.soak_series import DisturbanceSeries
 
 SMALL = Deployment("soak", ("one", "two"), {"shop": 3, "bank": 3}, slots=4)
 FAULT_GAP_SECONDS = 0.4
@@ -84,6 +86,8 @@
         Whether, in addition, backend servers name limits, and leave by their answers.
     departing : bool
         Whether, in addition, backend servers deregister while heartbeats arrive late.
+    reusing : bool
+        Whether, in addition, addresses of backend servers go to another service for a while.
     """
 
     def __init__(
@@ -95,6 +99,7 @@
         rejecting: bool = False,
         limiting: bool = False,
         departing: bool = False,
+        reusing: bool = False,
     ) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
@@ -108,14 +113,12 @@
         self._crashing: CrashingCaller | None = None
         self._work_seconds = WORK_SECONDS
         self._rejecting: RejectingService | None = None
-        self._limiting: LimitingServers | None = None
-        self._departing: DepartingServers | None = None
-        if departing:
-            self._departing = DepartingServers(
-                self.cluster, self._restart_if_down, seed, self.results
-            )
+        self._series: list[DisturbanceSeries] = []
         if limiting:
-            self._limiting = LimitingServers(self.cluster, seed, self.results)
+            self._series.append(LimitingServers(self.cluster, seed, self.results))
+        for is_wanted, series in ((departing, DepartingServers), (reusing, ReusedAddresses)):
+            if is_wanted:
+                self._series.append(series(self.cluster, self._restart_if_down, seed, self.results))
         if rejecting:
             self._rejecting = RejectingService(self.cluster, self._restart_if_down, seed)
         if crashing:
@@ -131,10 +134,8 @@
                 self._crashing.start(self._work_seconds)
             if self._rejecting is not None:
                 self._rejecting.start()
-            if self._limiting is not None:
-                self._limiting.start()
-            if self._departing is not None:
-                self._departing.start()
+            for series in self._series:
+                series.start()
             await asyncio.gather(self._load.run(), self._inject_faults())
             self._check_executions()
             check_repeats(self.cluster, self._load, self.results)
@@ -204,10 +205,7 @@
         await asyncio.gather(*running)
         if self._rejecting is not None:
             await self._rejecting.stop()
-        if self._limiting is not None:
-            await self._limiting.stop()
-        if self._departing is not None:
-            await self._departing.stop()
+        await asyncio.gather(*(series.stop() for series in self._series))
         self._clear_faults()
         await self._check_recovery()
         self._load.stopped = True
@@ -396,6 +394,11 @@
         action="store_true",
         help="also have backend servers deregister, with late heartbeats and kills in series",
     )
+    parser.add_argument(
+        "--reusing",
+        action="store_true",
+        help="also have addresses of backend servers go to another service for a while",
+    )
     arguments = parser.parse_args()
     # Raises KeyboardInterrupt on SIGTERM, so that the nodes are stopped then too.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
@@ -408,6 +411,7 @@
             rejecting=arguments.rejecting,
             limiting=arguments.limiting,
             departing=arguments.departing,
+            reusing=arguments.reusing,
         )
         results = asyncio.run(soak.run())
         verdict = "; ".join(results.violations[:5]) or "kept"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
     24,  # fault of the soak test: a reload signal in the first milliseconds of a node's interpreter
     4,  # fault of the soak test: false health beside a node that started without the store
 ]
+REUSING_SEEDS = [1, 2]
 REJECTING_SEEDS = [
     1,
     2,
@@ -71,3 +72,11 @@
     assert results.violations == []
     assert results.statuses[200] > 0
     assert results.faults["departed"] > 0
+
+
+@pytest.mark.parametrize("seed", REUSING_SEEDS)
+async def test_reused_addresses_get_no_requests_of_the_former_service(seed: int) -> None:
+    results = await Soak(seed, 6.0, reusing=True).run()
+    assert results.violations == []
+    assert results.statuses[200] > 0
+    assert results.faults["reused"] > 0
