Answers have bounds besides that of their body, and share a budget of bytes

Cause: a head was bounded by the headers that the parser had completed, so that neither a line without end nor interim answers counted; chunk extensions, trailers and answers to other requests had no bound; bodies were bounded each by 16 MiB, and nothing bounded them together. A connection that was given up went on reading for 50 ms.

Change: `AnswerMeter` bounds head bytes (64 KiB, with interim answers), interim answers (8), answers to other requests (8, 2 MiB of their bodies) and framing (64 KiB, and 8 bytes for each of the body up to 1 MiB); a length over the bound is refused as announced. Bodies beyond 64 KiB each share an eighth of `node.memory_mb`, in all connections to backend servers and nodes; one that finds nothing left waits unless it holds its equal part, and is given up then. A connection given up is reset at once. Result 3010 ANSWER_TOO_LARGE, 502; the request may have run, and counts as failed for the server. `read_all` joins a body once.

Not done: bodies of requests, and answers once they are read.

--- a/src/hoisthook/adapter/http/body_stream.py
+++ b/src/hoisthook/adapter/http/body_stream.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from hoisthook.exceptions import BrokenExchangeError
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from hoisthook.exceptions import BrokenExchangeError
+
 HIGH_WATER_BYTES = 256 * 1024
 
 
@@ -65,11 +65,11 @@
         if self.on_complete is not None:
             self.on_complete()
 
-    def fail(self, reason: str) -> None:
+    def fail(self, error: BrokenExchangeError) -> None:
         """Mark the body as failed, unless it is already complete or failed."""
         if self.complete or self.error is not None:
             return
-        self.error = BrokenExchangeError(reason)
+        self.error = error
         self._wake_reader()
 
     def take_buffered(self) -> bytes:
@@ -118,13 +118,13 @@
         TimeoutError
             If a piece did not arrive in time.
         """
-        data = b""
+        pieces: list[bytes] = []
         while True:
             async with asyncio.timeout(piece_timeout):
                 piece = await self.read()
             if not piece:
-                return data
-            data += piece
+                return b"".join(pieces)
+            pieces.append(piece)
 
     def _wake_reader(self) -> None:
         waiter = self._waiter
--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -9,18 +9,23 @@
 
 import httptools
 
+from hoisthook.adapter.http.answer_bounds import AnswerMeter
 from hoisthook.adapter.http.body_stream import BodyStream
 from hoisthook.adapter.http.flow_control import FlowControl
 from hoisthook.adapter.http.message import PROCESSING_STATUS
 from hoisthook.adapter.http.message import AnswerHead
 from hoisthook.adapter.http.message import Header
+from hoisthook.exceptions import AnswerTooLargeError
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnaskedUpgradeError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-MAX_HEAD_BYTES = 64 * 1024
+    from hoisthook.adapter.http.byte_budget import ByteBudget
+
+# Bytes of a cancelled exchange that are read until the other side closes.
+MAX_DISCARDED_BYTES = 256 * 1024
 CANCEL_TIMEOUT_SECONDS = 0.05
 
 
@@ -30,8 +35,15 @@
     The connection is reusable only after an answer that was complete, framed by its own length,
     kept alive, and not followed by surplus bytes.
 
+    Parameters
+    ----------
+    budget : ByteBudget
+        For the answers of this and other connections.
+
     Attributes
     ----------
+    budget : ByteBudget
+        For the answers of this and other connections.
     identity : str or None
         Identity that the node on the other side has stated, see `NodeConnections`.
     idle_since : float
@@ -40,12 +52,14 @@
         Exchanges started so far.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ByteBudget) -> None:
         super().__init__()
+        self.budget = budget
         self._parser: httptools.HttpResponseParser | None = None
         self._head_waiter: asyncio.Future[AnswerHead] | None = None
         self._headers: list[Header] = []
-        self._head_bytes = 0
+        self._meter = AnswerMeter()
+        self._discarded = 0
         self._bodyless = False
         self._accepts: Callable[[AnswerHead], bool] | None = None
         self._skipping = False
@@ -108,7 +122,7 @@
         assert self._transport is not None
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
-        self._head_bytes = 0
+        self._meter = AnswerMeter()
         self._bodyless = bodyless_answer
         self._accepts = accepts
         self._skipping = False
@@ -160,6 +174,12 @@
             self._transport.abort()
         self._mark_closed("connection closed by this side")
 
+    def abort(self) -> None:
+        """Close the connection without waiting for the other side."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._mark_closed("connection closed by this side")
+
     def _half_close(self) -> bool:
         """Signal the end of the stream; return False if the other side has reset it already."""
         assert self._transport is not None
@@ -181,14 +201,23 @@
     def data_received(self, data: bytes) -> None:
         """Parse answer bytes; bytes outside an exchange close the connection (asyncio callback)."""
         if self.closed:
+            self._discard(data)
             return
         if self._parser is None or self._complete:
             self.close()
             return
+        self._meter.received(len(data))
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.close()
+            if not self._complete:
+                self._meter.check()
+        except AnswerTooLargeError as error:
+            self._fail(error)
+            self.abort()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if isinstance(error.__context__, AnswerTooLargeError):
+                self._fail(error.__context__)
+            self.abort()
 
     def eof_received(self) -> None:
         """Mark the connection as closed before the loop closes it (asyncio callback).
@@ -213,15 +242,11 @@
         """Begin a head; detect a message after the complete answer (parser callback)."""
         # A new list, since a head that was passed on may hold the previous one.
         self._headers = []
-        self._head_bytes = 0
         if self._complete:
             self._surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header (parser callback)."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise BrokenExchangeError("answer head exceeds the size limit")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -234,13 +259,16 @@
             raise error
         self._is_interim = 100 <= status < 200
         if self._is_interim:
+            self._meter.interim_received()
             self._handle_interim(status)
         if self._is_interim or self._complete:
             return
         head = AnswerHead(status, self._headers)
         if self._accepts is not None and not self._accepts(head):
             self._skipping = True
+            self._meter.answer_skipped()
             return
+        self._meter.head_completed()
         self._ends_with_connection = not self._bodyless and not head.is_framed
         self._resolve_go_ahead(requested=False)
         waiter = self._head_waiter
@@ -251,7 +279,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass on a piece of the body (parser callback)."""
-        if not self._complete and not self._skipping:
+        if self._skipping:
+            self._meter.skipped_body_received(len(data))
+        elif not self._complete:
+            self._meter.body_received(len(data))
             self.body.feed(data)
 
     def on_message_complete(self) -> None:
@@ -272,6 +303,12 @@
                 self._transport.close()
         self.body.finish()
 
+    def _discard(self, data: bytes) -> None:
+        """Drop bytes that arrive while the other side has not closed yet, up to a bound."""
+        self._discarded += len(data)
+        if self._discarded > MAX_DISCARDED_BYTES and self._transport is not None:
+            self._transport.abort()
+
     def _mark_closed(self, reason: str) -> None:
         self.closed = True
         self._fail(BrokenExchangeError(reason))
@@ -293,4 +330,4 @@
         if waiter is not None and not waiter.done():
             waiter.set_exception(error)
             waiter.exception()
-        self.body.fail(str(error))
+        self.body.fail(error)
--- a/src/hoisthook/adapter/http/client_pool.py
+++ b/src/hoisthook/adapter/http/client_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.byte_budget import ByteBudget
 from hoisthook.adapter.http.client_connection import ClientConnection
 from hoisthook.adapter.http.stall_tolerant_timeout import stall_tolerant_timeout
 from hoisthook.exceptions import UnreachableError
@@ -14,6 +15,7 @@
 
 IDLE_LIMIT_SECONDS = 20.0
 MAX_IDLE_PER_ADDRESS = 32
+DEFAULT_ANSWER_BYTES = 32 * 1024 * 1024
 
 
 class ClientPool:
@@ -26,10 +28,15 @@
     ----------
     idle_limit : float
         Longest idle time of a connection that is reused, in seconds.
+    budget : ByteBudget, optional
+        For the answers on all its connections; one of `DEFAULT_ANSWER_BYTES` by default.
     """
 
-    def __init__(self, *, idle_limit: float = IDLE_LIMIT_SECONDS) -> None:
+    def __init__(
+        self, *, idle_limit: float = IDLE_LIMIT_SECONDS, budget: ByteBudget | None = None
+    ) -> None:
         self._idle_limit = idle_limit
+        self._budget = budget or ByteBudget(DEFAULT_ANSWER_BYTES)
         self.opened = 0
         self._idle_by_address: dict[Address, list[ClientConnection]] = {}
         self._closed = False
@@ -65,7 +72,9 @@
         self.opened += 1
         try:
             async with stall_tolerant_timeout(timeout):
-                _, connection = await loop.create_connection(ClientConnection, *address)
+                _, connection = await loop.create_connection(
+                    lambda: ClientConnection(self._budget), *address
+                )
         except (OSError, TimeoutError) as error:
             raise UnreachableError(f"{address[0]}:{address[1]}: {error}") from error
         return connection
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -17,6 +17,7 @@
 from hoisthook.adapter.http.message import RequestHead
 from hoisthook.adapter.http.message import encode_request_head
 from hoisthook.adapter.http.server_exchange import ServerExchange
+from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
@@ -135,7 +136,9 @@
         self._disarm_timer()
         if self._incoming is not None:
             self._incoming.body.fail(
-                "connection to the caller was closed before the end of the request body"
+                BrokenExchangeError(
+                    "connection to the caller was closed before the end of the request body"
+                )
             )
         self.release_writer()
         if self._queue:
@@ -271,7 +274,7 @@
         self._rejection = code
         self._disarm_timer()
         if self._incoming is not None:
-            self._incoming.body.fail("malformed request body")
+            self._incoming.body.fail(BrokenExchangeError("malformed request body"))
             self._incoming = None
             return
         if not self._queue:
--- a/src/hoisthook/exceptions.py
+++ b/src/hoisthook/exceptions.py
@@ -49,5 +49,20 @@
     """The other side switches protocols although it was not asked to."""
 
 
+class AnswerTooLargeError(BrokenExchangeError):
+    """An answer exceeds a bound.
+
+    Parameters
+    ----------
+    what : str
+        What is counted.
+    bound : int
+        How many are allowed.
+    """
+
+    def __init__(self, what: str, bound: int) -> None:
+        super().__init__(f"answer exceeds the bound of {bound} {what}")
+
+
 class UnreachableError(Exception):
     """No connection could be opened, so nothing was sent."""
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -169,7 +169,7 @@
         if self._held_back:
             self._connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
         head = await self._answer
-        return head, await read_buffered(self._connection)
+        return head, await read_buffered(self._connection, head)
 
     async def _await_admission(self, admission_timeout: float) -> bool:
         """Return whether the other node has responded in time, by admission or by an answer.
--- a/src/hoisthook/mesh/buffered_exchange.py
+++ b/src/hoisthook/mesh/buffered_exchange.py
@@ -7,6 +7,7 @@
 
 from hoisthook.adapter.http.message import encode_request_head
 from hoisthook.adapter.http.stall_tolerant_timeout import stall_tolerant_timeout
+from hoisthook.exceptions import AnswerTooLargeError
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import UnaskedUpgradeError
 from hoisthook.node.call import Lost
@@ -68,13 +69,16 @@
         if piece_timeout is None:
             async with asyncio.timeout(timeout):
                 head = await connection.send(data, bodyless_answer=bodyless, accepts=accepts)
-                return head, await read_buffered(connection)
+                return head, await read_buffered(connection, head)
         async with stall_tolerant_timeout(timeout):
             head = await connection.send(data, bodyless_answer=bodyless, accepts=accepts)
-        return head, await read_buffered(connection, piece_timeout)
+        return head, await read_buffered(connection, head, piece_timeout)
     except TimeoutError:
         connection.close()
         return Lost(ResultCode.DEADLINE_DURING_RUN)
+    except AnswerTooLargeError:
+        connection.abort()
+        return Lost(ResultCode.ANSWER_TOO_LARGE)
     except UnaskedUpgradeError:
         connection.close()
         return Lost(ResultCode.ANSWER_SPOILED)
@@ -86,13 +90,17 @@
         raise
 
 
-async def read_buffered(connection: ClientConnection, piece_timeout: float | None = None) -> bytes:
+async def read_buffered(
+    connection: ClientConnection, head: AnswerHead, piece_timeout: float | None = None
+) -> bytes:
     """Return the rest of the body of an answer.
 
     Parameters
     ----------
     connection : ClientConnection
         Connection on which the head of the answer has been read.
+    head : AnswerHead
+        That head.
     piece_timeout : float, optional
         Seconds within which each piece must arrive.
 
@@ -100,14 +108,25 @@
     ------
     TimeoutError
         If a piece does not arrive in time.
+    AnswerTooLargeError
+        If the body is larger than `MAX_ANSWER_BYTES`, or than what other answers leave for it.
     BrokenExchangeError
-        If the body ends early or is larger than `MAX_ANSWER_BYTES`.
+        If the body ends early.
     """
     body = connection.body
-    data = body.take_buffered()
-    while not body.complete or body.buffered:
-        async with asyncio.timeout(piece_timeout):
-            data += await body.read()
-        if len(data) > MAX_ANSWER_BYTES:
-            raise BrokenExchangeError("answer body exceeds the limit of 16 MiB")
-    return data
+    length = head.get(b"content-length") or b""
+    has_body = not body.complete or body.buffered > 0
+    if has_body and length.isdigit() and int(length) > MAX_ANSWER_BYTES:
+        raise AnswerTooLargeError("bytes of the body, as announced", MAX_ANSWER_BYTES)
+    pieces = [body.take_buffered()]
+    size = len(pieces[0])
+    with connection.budget.share() as share:
+        while not body.complete or body.buffered:
+            async with asyncio.timeout(piece_timeout):
+                piece = await body.read()
+            pieces.append(piece)
+            size += len(piece)
+            if size > MAX_ANSWER_BYTES:
+                raise AnswerTooLargeError("bytes of the body", MAX_ANSWER_BYTES)
+            await share.grow_to(size)
+    return b"".join(pieces)
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -7,6 +7,7 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.byte_budget import ByteBudget
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
 from hoisthook.adapter.http.node_connections import IDENTITY_PATH
@@ -69,6 +70,9 @@
 # Shorter than the idle timeout of the other node's server, see `CallServer`.
 PEER_IDLE_SECONDS = 30.0
 HOUSEKEEPING_SECONDS = 2.0
+# Share of the memory that the answers which are being read may take.
+ANSWER_MEMORY_SHARE = 0.125
+BYTES_PER_MB = 1_000_000
 # Pause before a failed background task is restarted.
 RESTART_SECONDS = 0.5
 # Time for which callers continue to send after readiness is withdrawn: two readiness checks one
@@ -119,8 +123,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._randomness = random.Random(secrets.randbits(64))
         self._stalls = LoopStalls(log)
-        self._backend_pool = ClientPool(idle_limit=BACKEND_IDLE_SECONDS)
-        self._peer_pool = ClientPool(idle_limit=PEER_IDLE_SECONDS)
+        answers = ByteBudget(int(ANSWER_MEMORY_SHARE * settings.node.memory_mb * BYTES_PER_MB))
+        self._backend_pool = ClientPool(idle_limit=BACKEND_IDLE_SECONDS, budget=answers)
+        self._peer_pool = ClientPool(idle_limit=PEER_IDLE_SECONDS, budget=answers)
         self.stopping = False
         self.configuration = ConfigurationHolder(log)
         self.configuration.on_change(self._apply_configuration)
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -275,6 +275,13 @@
         "Repeat if the request is repeatable.",
     )
 
+    ANSWER_TOO_LARGE = CodeEntry(
+        3010,
+        502,
+        Ran.UNKNOWN,
+        "An answer exceeds a bound on its size or on its parts.",
+        "Repeat if the request is repeatable; see operations.",
+    )
     REVISION_CONFLICT = CodeEntry(
         4001, 0, Ran.NOT_RUN, "Another change won.", "Read the winner's revision and decide anew."
     )
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -20,6 +20,8 @@
         Whether all nodes are being started for the first time.
     link_mbps : float
         Bandwidth of the instance's link, in megabits per second; 0 if unknown.
+    memory_mb : float
+        Memory that the process may use, in megabytes.
     """
 
     id: str
@@ -27,6 +29,7 @@
     service: str
     first_start: bool = False
     link_mbps: float = 0.0
+    memory_mb: float = 256.0
 
 
 class MeshListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -21,6 +21,7 @@
     from pathlib import Path
 
 MAX_DRAIN_SECONDS = 3600.0
+MIN_MEMORY_MB = 16.0
 MAX_REUSE_SECONDS = 3600.0
 
 Settings = TypeVar("Settings")
@@ -157,6 +158,7 @@
         ("measure.per_second", settings.measure.per_second, 0.0, 1000.0),
         ("store.readers_per_data_centre", settings.store.readers_per_data_centre, 1, 1000),
         ("store.apply_seconds", settings.store.apply_seconds, 0.5, 600),
+        ("node.memory_mb", settings.node.memory_mb, MIN_MEMORY_MB, 1e6),
         ("node.link_mbps", settings.node.link_mbps, 0.0, 1e6),
         ("cold.rate_factor", settings.cold.rate_factor, 0.0, 1000.0),
         ("cold.extra", settings.cold.extra, 0.0, 1e6),
--- a/standin/configuration_fleet.py
+++ b/standin/configuration_fleet.py
@@ -47,6 +47,7 @@
     from collections.abc import Coroutine
     from collections.abc import Iterable
 
+    from hoisthook.adapter.http.byte_budget import ByteBudget
     from hoisthook.adapter.http.message import Header
     from hoisthook.identity import Address
     from hoisthook.traffic.traffic_configuration import TrafficConfiguration
@@ -159,7 +160,10 @@
 class FleetConnection:
     """A connection of a node; used like `hoisthook.adapter.http.client_connection`."""
 
-    def __init__(self, network: FleetNetwork, source: str, address: Address) -> None:
+    def __init__(
+        self, network: FleetNetwork, source: str, address: Address, budget: ByteBudget
+    ) -> None:
+        self.budget = budget
         self._network = network
         self._generation = network.generation
         self._source = source
@@ -215,7 +219,7 @@
     async def open(self, address: Address, timeout: float) -> FleetConnection:  # type: ignore[override]
         """Open a connection; a frozen host accepts it all the same."""
         await asyncio.sleep(2 * LATENCY_SECONDS)
-        return FleetConnection(self._network, self._host, address)
+        return FleetConnection(self._network, self._host, address, self._budget)
 
 
 class FleetNode:
--- a/tests/mesh/test_late_announcements.py
+++ b/tests/mesh/test_late_announcements.py
@@ -178,3 +178,12 @@
     observed_backend.answered_as(LIVING, clock.now())
     assert observed_backend.state is BackendState.DRAINING
     assert [withdrawal.instance for withdrawal in observed_backend.withdrawals] == [LIVING]
+
+
+def test_departure_that_is_told_before_any_id_holds_for_the_first_incarnation() -> None:
+    """Guards against an answer without an id that is forgotten with the first announcement."""
+    observed_backend = make_observed_backend()
+    observed_backend.reported_leaving()
+    observed_backend.announced(announcement(LIVING, 1))
+    assert observed_backend.state is BackendState.DRAINING
+    assert [withdrawal.instance for withdrawal in observed_backend.withdrawals] == [LIVING]
