--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -109,8 +109,10 @@
         """Return the address that it listens on."""
         return self._address
 
-    async def start(self) -> None:
-        """Start listening."""
+    async def start(self, address: Address | None = None) -> None:
+        """Start listening, on any free port unless an address is given."""
+        if address is not None:
+            self._server = CallServer(address, self._serve)
         await self._server.start()
         self._address = self._server.address
 
--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -210,7 +210,8 @@
             for _ in range(count):
                 number += 1
                 backend = MeshBackendStandin(service, f"i-{number}", slots=self.deployment.slots)
-                await backend.start()
+                # A port that stays free while the server is away.
+                await backend.start(parse_address(free_address()))
                 self.instances.append(self._make_instance(number, service, backend))
 
     def _make_instance(
