--- a/standin/soak_departures.py
+++ b/standin/soak_departures.py
@@ -9,7 +9,7 @@
 
 from hoisthook.exceptions import UnreachableError
 from hoisthook.identity import parse_address
-from standin.soak_series import DisturbanceSeries
+from standin.soak_series import KillingSeries
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -37,7 +37,7 @@
 OK = 200
 
 
-class DepartingServers(DisturbanceSeries):
+class DepartingServers(KillingSeries):
     """Has one backend server after the other deregister, serve on and be replaced.
 
     Parameters
@@ -59,8 +59,7 @@
         seed: int,
         results: SoakResults,
     ) -> None:
-        super().__init__(cluster, seed, results, PAUSE_SECONDS)
-        self._restart = restart
+        super().__init__(cluster, restart, seed, results, PAUSE_SECONDS, PAUSE_SECONDS)
 
     def _next(self) -> Coroutine[object, object, None] | None:
         instance = self._random.choice(self._cluster.instances)
@@ -111,12 +110,6 @@
             await asyncio.sleep(PAUSE_SECONDS)
         return False
 
-    async def _kill(self, instance: MeshInstance, delay: float) -> None:
-        await asyncio.sleep(delay)
-        await self._cluster.kill(instance)
-        await asyncio.sleep(PAUSE_SECONDS)
-        await self._restart(instance)
-
     async def _send_late(self, instance: MeshInstance, sequence: int) -> None:
         """Deliver a heartbeat that was sent before the deregistration; a dead node loses it."""
         name = instance.backend.instance
--- a/standin/soak_reuse.py
+++ b/standin/soak_reuse.py
@@ -10,7 +10,7 @@
 from hoisthook.identity import parse_address
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_cluster import REUSE_AFTER_SECONDS
-from standin.soak_series import DisturbanceSeries
+from standin.soak_series import KillingSeries
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -34,7 +34,7 @@
 LATE_SEQUENCE = 10_000
 
 
-class ReusedAddresses(DisturbanceSeries):
+class ReusedAddresses(KillingSeries):
     """Ends one backend server after the other and gives its address to another service for a while.
 
     Parameters
@@ -56,8 +56,7 @@
         seed: int,
         results: SoakResults,
     ) -> None:
-        super().__init__(cluster, seed, results, PAUSE_SECONDS)
-        self._restart = restart
+        super().__init__(cluster, restart, seed, results, PAUSE_SECONDS, KILL_PAUSE_SECONDS)
 
     def _next(self) -> Coroutine[object, object, None] | None:
         instance = self._random.choice(self._cluster.instances)
@@ -125,9 +124,3 @@
         address = parse_address(instance.announcements)
         with contextlib.suppress(UnreachableError, AssertionError):
             await sender.send_heartbeat(address, state=state, sequence=sequence)
-
-    async def _kill(self, instance: MeshInstance, delay: float) -> None:
-        await asyncio.sleep(delay)
-        await self._cluster.kill(instance)
-        await asyncio.sleep(KILL_PAUSE_SECONDS)
-        await self._restart(instance)
--- a/standin/soak_series.py
+++ b/standin/soak_series.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from standin.mesh_cluster import MeshCluster
+    from standin.mesh_cluster import MeshInstance
     from standin.soak_load import SoakResults
 
 
@@ -61,3 +64,36 @@
                 tasks.add(asyncio.get_running_loop().create_task(disturbance))
             await asyncio.sleep(self._pause_seconds)
         await asyncio.gather(*tasks)
+
+
+class KillingSeries(DisturbanceSeries):
+    """A series whose disturbances also kill nodes.
+
+    Parameters
+    ----------
+    cluster, seed, results, pause_seconds
+        As of `DisturbanceSeries`.
+    restart : callable
+        Starts the node of an instance if it does not run.
+    down_seconds : float
+        Time from the kill of a node to its start.
+    """
+
+    def __init__(
+        self,
+        cluster: MeshCluster,
+        restart: Callable[[MeshInstance], Awaitable[None]],
+        seed: int,
+        results: SoakResults,
+        pause_seconds: float,
+        down_seconds: float,
+    ) -> None:
+        super().__init__(cluster, seed, results, pause_seconds)
+        self._restart = restart
+        self._down_seconds = down_seconds
+
+    async def _kill(self, instance: MeshInstance, delay: float) -> None:
+        await asyncio.sleep(delay)
+        await self._cluster.kill(instance)
+        await asyncio.sleep(self._down_seconds)
+        await self._restart(instance)
--- a/tests/mesh/test_late_announcements.py
+++ b/tests/mesh/test_late_announcements.py
@@ -12,8 +12,8 @@
 from hoisthook.mesh.incarnation_records import AnnouncementEffect
 from hoisthook.mesh.incarnation_records import BackendState
 from standin.mesh_backend import MeshBackendStandin
-from standin.published_configuration import RouteOptions
 from tests.fakes import FakeClock
+from tests.mesh.test_reused_address import ingress_and_shop
 from tests.observed_backends import make_observed_backend
 from tests.waiting import until
 
@@ -25,17 +25,6 @@
 EARLIER, LATER = 1_700_000_000_000, 1_700_000_005_000
 
 
-async def ingress_and_shop(system: MeshSystem) -> tuple[Machine, Machine]:
-    """Return an ingress node and a machine whose backend server has served a request."""
-    ingress = await system.add("front")
-    shop = await system.add("shop")
-    system.merge_all_peers()
-    system.publish(1, RouteOptions("shop"))
-    await system.until_configured(1)
-    assert (await system.call(ingress))[0] == 200
-    return ingress, shop
-
-
 async def deliver_late(shop: Machine, state: str = "ready", sequence: int = 90) -> None:
     """Deliver a heartbeat of an incarnation that has ended before the node knew it."""
     dead = MeshBackendStandin("shop", "dead")
