--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 	$(BIN)/python -m standin.run --seva
 
 test: install
-	$(BIN)/python -m pytest $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -m "not crowd" $(PYTEST_ARGS)
+	$(BIN)/python -m pytest -m crowd --numprocesses 0 $(PYTEST_ARGS)
 
 lint: install
 	$(BIN)/black --check --quiet .
--- a/standin/mesh_backend.py
+++ b/standin/mesh_backend.py
@@ -71,6 +71,8 @@
         self.instance = instance
         self.slots = slots
         self.work_seconds = 0.0
+        # Size of the bodies of its answers; 0 for the name of the request only.
+        self.answer_bytes = 0
         # Requests finish only while this is set.
         self.may_finish = asyncio.Event()
         self.may_finish.set()
@@ -244,7 +246,7 @@
         self.answered += 1
         echo = (b"x-request-id", request_id.encode())
         signed: list[Header] = [echo, (b"x-response-signature", SIGNATURE), *self._load_headers()]
-        body = b"body of " + request_id.encode()
+        body = (b"body of " + request_id.encode()).ljust(self.answer_bytes, b".")
         match self.fault:
             case Fault.ERROR:
                 exchange.respond(500, [echo, *self._load_headers()])
--- a/standin/mesh_cluster.py
+++ b/standin/mesh_cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import signal
 import sys
 import tempfile
@@ -22,6 +23,7 @@
 from standin.mesh_backend import MeshBackendStandin
 from standin.mesh_store import StoreStandin
 from standin.mesh_system import NODES_TOPIC
+from standin.published_configuration import LimitOptions
 from standin.published_configuration import RouteOptions
 from standin.published_configuration import configuration
 
@@ -82,11 +84,32 @@
         Data centres and services.
     grace_seconds : float
         Time between SIGTERM and SIGKILL, also in the nodes' settings.
+    memory_mb : float, optional
+        Memory of each node's machine, in the nodes' settings.
+    max_descriptors : int, optional
+        Limit of the open descriptors of each node.
+    limits : LimitOptions, optional
+        Limits of what clients may send.
+    timeout : float
+        Time limit of all routes, in seconds.
     """
 
-    def __init__(self, deployment: Deployment, *, grace_seconds: float = 6.0) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        grace_seconds: float = 6.0,
+        memory_mb: float | None = None,
+        max_descriptors: int | None = None,
+        limits: LimitOptions | None = None,
+        timeout: float = 2.0,
+    ) -> None:
         self.deployment = deployment
         self.grace_seconds = grace_seconds
+        self.memory_mb = memory_mb
+        self.max_descriptors = max_descriptors
+        self.limits = limits
+        self.timeout = timeout
         self.store = StoreStandin()
         self.instances: list[MeshInstance] = []
         self.folder = Path(tempfile.mkdtemp(prefix="hoisthook-mesh-"))
@@ -121,15 +144,21 @@
         """Return one repeatable and one non-repeatable route for each service."""
         options = []
         for service in self.deployment.count_by_service:
-            options.append(RouteOptions(service, host=f"{service}.example", prefix="/read/"))
-            options.append(
-                RouteOptions(service, host=f"{service}.example", prefix="/write/", safe=False)
-            )
+            for prefix, safe in (("/read/", True), ("/write/", False)):
+                options.append(
+                    RouteOptions(
+                        service,
+                        host=f"{service}.example",
+                        prefix=prefix,
+                        safe=safe,
+                        timeout=self.timeout,
+                    )
+                )
         return options
 
     def publish(self, version: int, extra: list[RouteOptions] | None = None) -> None:
         """Publish a configuration with the routes of all services and some extra ones."""
-        record = configuration(version, *self.routes(), *(extra or []))
+        record = configuration(version, *self.routes(), *(extra or []), limits=self.limits)
         self.store.put(TOPIC, KEY, record)
 
     async def start_node(self, instance: MeshInstance) -> None:
@@ -151,11 +180,17 @@
                     stdout=lines,
                     stderr=lines,
                     env={**os.environ, "HOISTHOOK_BOOT": str(path)},
+                    preexec_fn=None if self.max_descriptors is None else self._limit_descriptors,
                 )
         finally:
             instance.is_starting = False
         instance.first_start = False
 
+    def _limit_descriptors(self) -> None:
+        assert self.max_descriptors is not None
+        limits = (self.max_descriptors, self.max_descriptors)
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     def describe(self, instance: MeshInstance) -> str:
         """Return an instance's name and the state of its process."""
         if instance.is_starting:
@@ -243,12 +278,14 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def _settings(self, instance: MeshInstance) -> str:
+        memory = "" if self.memory_mb is None else f"memory_mb = {self.memory_mb}"
         return f"""
 [node]
 id = "{instance.name}"
 data_centre = "{instance.data_centre}"
 service = "{instance.service}"
 first_start = {str(instance.first_start).lower()}
+{memory}
 [listen]
 callers = "{instance.callers}"
 peers = "{instance.peers}"
--- a/standin/published_configuration.py
+++ b/standin/published_configuration.py
@@ -70,8 +70,31 @@
     burst: float = 0.0
 
 
-def configuration(version: int, *routes: RouteOptions, teams: Iterable[TeamOptions] = ()) -> bytes:
+class LimitOptions(msgspec.Struct, frozen=True):
+    """Limits of what clients may send.
+
+    Attributes
+    ----------
+    max_header_bytes, max_body_bytes : int
+        Largest head and largest body of a request.
+    header_timeout, idle_timeout : float
+        Time for a head, and time without a request, in seconds.
+    """
+
+    max_header_bytes: int = 8192
+    max_body_bytes: int = MAX_BODY_BYTES
+    header_timeout: float = 3
+    idle_timeout: float = 15
+
+
+def configuration(
+    version: int,
+    *routes: RouteOptions,
+    teams: Iterable[TeamOptions] = (),
+    limits: LimitOptions | None = None,
+) -> bytes:
     """Return a configuration, encoded as JSON."""
+    options = limits or LimitOptions()
     resources: list[dict[str, object]] = []
     cold_by_service: dict[str, float | None] = {}
     for number, route in enumerate(routes):
@@ -107,11 +130,11 @@
             "burst": team.burst,
         }
         resources.append({"type": "tenants", "metadata": {"name": team.name}, "spec": team_spec})
-    limits = {
-        "maxHeaderBytes": 8192,
-        "maxBodyBytes": MAX_BODY_BYTES,
-        "headerTimeoutS": 3,
-        "idleTimeoutS": 15,
+    limit_spec = {
+        "maxHeaderBytes": options.max_header_bytes,
+        "maxBodyBytes": options.max_body_bytes,
+        "headerTimeoutS": options.header_timeout,
+        "idleTimeoutS": options.idle_timeout,
     }
-    resources.append({"type": "limits", "metadata": {}, "spec": limits})
+    resources.append({"type": "limits", "metadata": {}, "spec": limit_spec})
     return msgspec.json.encode({"version": version, "baseVersion": 0, "resources": resources})
--- a/tests/tool/test_known_red.py
+++ b/tests/tool/test_known_red.py
@@ -29,7 +29,7 @@
 ENTRY = "test_listed.py::{} | make test, no seed | fails | issue 7\n"
 
 
-def run(pytester: pytest.Pytester, entries: str) -> pytest.RunResult:
+def run(pytester: pytest.Pytester, entries: str, *options: str) -> pytest.RunResult:
     pytester.makepyfile(test_listed=TESTS)
     path: Path = pytester.path / "KNOWN-RED.txt"
     path.write_text(entries)
@@ -37,6 +37,7 @@
         *("-p", "tool.known_red", "--known-red", str(path)),
         *("-p", "no:xdist", "-p", "no:cacheprovider"),
         *("-o", "asyncio_default_fixture_loop_scope=function"),
+        *options,
     )
 
 
@@ -46,6 +47,14 @@
     run(pytester, entries).assert_outcomes(passed=1, failed=1, deselected=3)
 
 
+def test_entry_is_found_in_a_run_that_a_marker_leaves_it_out_of(
+    pytester: pytest.Pytester,
+) -> None:
+    """Guards against an error for an entry of the other part of the run."""
+    result = run(pytester, ENTRY.format("test_red"), "-m", "not parametrize")
+    result.assert_outcomes(passed=1, failed=1, deselected=3)
+
+
 def test_nothing_is_deselected_without_entries(pytester: pytest.Pytester) -> None:
     run(pytester, "\n").assert_outcomes(passed=1, failed=4)
 
--- a/tool/known_red.py
+++ b/tool/known_red.py
@@ -74,9 +74,12 @@
     parser.addoption(OPTION, type=Path, default=None, help="list of known failures to deselect")
 
 
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Deselect the listed tests.
 
+    This comes before the selection by markers, so that each part of a run finds all entries.
+
     Raises
     ------
     pytest.UsageError
