Lines without end are refused at the bound of a head

Cause: ServerConnection counted what the parser reports. It reports a header when its line is complete, so a line that is not is in no count, and extensions and empty lines are never reported. Behind a malformed request all was read and dropped while an earlier request was served, however much. Ruled out: the time-out of a head as the bound, since 60 s of it did not matter in the tests, and memory kept by the allocator: the peak follows the bytes sent.

The parser of requests is a class of its own now. It counts the bytes since the last report too, and refuses what exceeds the bound of a head. The rest of a piece behind a report is not counted, which is one piece at most. Dropped bytes have a bound as well, behind which the connection is not read.

--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -8,26 +8,26 @@
 from typing import Protocol
 from typing import cast
 
-import httptools
-
 from hoisthook.adapter.http.body_stream import BodyStream
 from hoisthook.adapter.http.flow_control import FlowControl
-from hoisthook.adapter.http.message import FRAMING
-from hoisthook.adapter.http.message import Header
-from hoisthook.adapter.http.message import RequestHead
-from hoisthook.adapter.http.message import encode_request_head
+from hoisthook.adapter.http.request_parser import RequestParser
 from hoisthook.adapter.http.server_exchange import ServerExchange
 from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import RequestError
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from hoisthook.adapter.http.message import RequestHead
+
     Handler = Callable[[ServerExchange], Awaitable[None]]
 
 MAX_PIPELINED = 8
-TUNNEL_METHOD = b"CONNECT"
+# Bytes after a malformed request that are read and dropped while an earlier one is being served,
+# since only reading shows that the caller has disconnected.
+MAX_DISCARDED_BYTES = 64 * 1024
 
 
 class ConnectionServer(Protocol):
@@ -62,18 +62,13 @@
     def __init__(self, server: ConnectionServer) -> None:
         super().__init__()
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self)
         self._loop = asyncio.get_running_loop()
         self._queue: deque[ServerExchange] = deque()
         self._incoming: ServerExchange | None = None
-        self._target = b""
-        self._headers: list[Header] = []
-        self._head_bytes = 0
-        self._expects_continue = False
-        # The head of a request that offers an upgrade has been read, and its framing not yet.
-        self._offers_upgrade = False
         self._timer: asyncio.TimerHandle | None = None
         self._rejection: ResultCode | None = None
+        self._discarded_bytes = 0
         self.peer: tuple[str, int] = ("", 0)
         self.closed = False
 
@@ -103,32 +98,12 @@
     def data_received(self, data: bytes) -> None:
         """Parse request bytes (asyncio callback)."""
         if self._rejection is not None:
+            self._discard(len(data))
             return
         try:
-            self._parse(data)
-        except httptools.HttpParserError:
-            self._reject(self._rejection or ResultCode.REQUEST_MALFORMED)
-
-    def _parse(self, data: bytes) -> None:
-        """Feed the parser, which stops behind the head of a request that offers an upgrade.
-
-        The offer is ignored (RFC 9110, section 7.8). A new parser is given the framing of the
-        request and reads its body and what follows.
-        """
-        while True:
-            try:
-                self._parser.feed_data(data)
-            except httptools.HttpParserUpgrade as offer:
-                data = data[offer.args[0] :]
-                self._parser = httptools.HttpRequestParser(self)
-                self._parser.feed_data(self._framing_head())
-            else:
-                return
-
-    def _framing_head(self) -> bytes:
-        assert self._incoming is not None
-        headers = self._incoming.head.headers
-        return encode_request_head(b"POST", b"/", [h for h in headers if h[0] in FRAMING])
+            self._parser.feed(data)
+        except RequestError as error:
+            self._reject(error.code)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the running handler that its caller has disconnected (asyncio callback)."""
@@ -145,69 +120,41 @@
             self._queue[0].disconnected()
         self._server.connection_closed(self)
 
-    def on_message_begin(self) -> None:
-        """Start collecting a head (parser callback)."""
-        if self._offers_upgrade:
-            return
+    @property
+    def max_head_bytes(self) -> int:
+        """Return the largest size of a head, in bytes."""
+        return self._server.max_head_bytes
+
+    def head_started(self) -> None:
+        """Limit the time for the head."""
         self._disarm_timer()
         self._timer = self._loop.call_later(self._server.head_timeout, self._on_head_timeout)
-        self._target = b""
-        self._headers = []
-        self._head_bytes = 0
-        self._expects_continue = False
-
-    def on_url(self, url: bytes) -> None:
-        """Collect a piece of the target (parser callback)."""
-        if self._offers_upgrade:
-            return
-        self._target += url
-        self._count_head(len(url))
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header (parser callback)."""
-        if self._offers_upgrade:
-            return
-        self._count_head(len(name) + len(value))
-        name = name.lower()
-        if name == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Queue the exchange (parser callback)."""
-        if self._offers_upgrade:
-            self._offers_upgrade = False
-            return
+    def head_completed(
+        self, head: RequestHead, *, keep_alive: bool, expects_continue: bool
+    ) -> None:
+        """Queue the exchange."""
         self._disarm_timer()
-        method = self._parser.get_method()
-        if method == TUNNEL_METHOD:
-            # What follows is not HTTP, so none of it may be read as a request.
-            raise ValueError("tunnels are not supported")
-        head = RequestHead(method, self._target, self._headers)
-        # The parser reports trailers of a chunked body like headers. In the list of the head they
-        # would let a caller add headers after the head was checked.
-        self._headers = []
-        exchange = ServerExchange(self, head, BodyStream(self), self._parser.should_keep_alive())
-        if self._expects_continue:
+        exchange = ServerExchange(self, head, BodyStream(self), keep_alive)
+        if expects_continue:
             exchange.expects_continue = True
             if self._server.auto_continue:
                 exchange.send_continue()
         self._incoming = exchange
-        self._offers_upgrade = self._parser.should_upgrade()
         self._queue.append(exchange)
         if len(self._queue) == 1:
             self._start_next()
         elif len(self._queue) > MAX_PIPELINED:
             self.pause_body()
 
-    def on_body(self, data: bytes) -> None:
-        """Pass on a piece of the body (parser callback)."""
+    def body_received(self, data: bytes) -> None:
+        """Pass on a piece of the body."""
         if self._incoming is not None:
             self._incoming.body.feed(data)
 
-    def on_message_complete(self) -> None:
-        """Finish the request (parser callback)."""
-        if self._incoming is not None and not self._offers_upgrade:
+    def request_completed(self) -> None:
+        """Finish the request."""
+        if self._incoming is not None:
             self._incoming.body.finish()
             self._incoming = None
 
@@ -264,11 +211,10 @@
             if not exchange.ended:
                 exchange.abort()
 
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > self._server.max_head_bytes:
-            self._rejection = ResultCode.REQUEST_TOO_LARGE
-            raise ValueError("request head exceeds the size limit")
+    def _discard(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self.pause_body()
 
     def _reject(self, code: ResultCode) -> None:
         self._rejection = code
--- a/src/hoisthook/exceptions.py
+++ b/src/hoisthook/exceptions.py
@@ -37,6 +37,10 @@
     """The platform's log may or may not have accepted the record."""
 
 
+class RequestError(HoisthookError):
+    """The bytes of a connection are no request, or exceed a bound."""
+
+
 class StoreUnavailableError(HoisthookError):
     """The platform's store did not answer, or its answer is unusable."""
 
