Large messages are sent in pieces, without copies of the whole body

Cause: head and body were joined, and the transport copied what the socket did not take.

A connection with unsent parts is not reusable; a closed one drops them.

The stand-in connection of the virtual fleet takes parts as well: without that, its tests did not end.

--- a/src/hoisthook/adapter/http/client_connection.py
+++ b/src/hoisthook/adapter/http/client_connection.py
@@ -84,7 +84,7 @@
         if not self._complete or self._surplus or self.closed or self._transport is None:
             return False
         # The unsent rest of a request that was answered early would be read as the next request.
-        return self._transport.get_write_buffer_size() == 0
+        return not self._unsent and self._transport.get_write_buffer_size() == 0
 
     @property
     def is_open(self) -> bool:
@@ -97,8 +97,7 @@
 
     def send(
         self,
-        data: bytes,
-        *,
+        *parts: bytes,
         bodyless_answer: bool = False,
         accepts: Callable[[AnswerHead], bool] | None = None,
     ) -> asyncio.Future[AnswerHead]:
@@ -106,7 +105,7 @@
 
         Parameters
         ----------
-        data : bytes
+        *parts : bytes
             The head and the part of the body that is available.
         bodyless_answer : bool
             Whether the answer has no body regardless of its headers (HEAD).
@@ -136,7 +135,7 @@
         if self.closed:
             self._fail(BrokenExchangeError("connection was closed before the request was sent"))
         else:
-            self._transport.write(data)
+            self.write(*parts)
         return self._head_waiter
 
     def go_ahead(self) -> asyncio.Future[bool]:
@@ -155,11 +154,6 @@
         self._processing = asyncio.get_running_loop().create_future()
         return self._processing
 
-    def send_more(self, data: bytes) -> None:
-        """Send a further piece of the request of the current exchange."""
-        if not self.closed and self._transport is not None:
-            self._transport.write(data)
-
     def close(self) -> None:
         """Close the connection; this cancels an unfinished exchange.
 
@@ -312,6 +306,7 @@
     def _mark_closed(self, reason: str) -> None:
         self.closed = True
         self._fail(BrokenExchangeError(reason))
+        self._unsent.clear()
         self.release_writer()
 
     def _handle_interim(self, status: int) -> None:
--- a/src/hoisthook/adapter/http/message.py
+++ b/src/hoisthook/adapter/http/message.py
@@ -94,6 +94,11 @@
     return b"\r\n".join(lines)
 
 
+def chunk_parts(data: bytes) -> tuple[bytes, ...]:
+    """Return ``data`` as one chunk of a chunked body, in parts; none without data."""
+    return (b"%x\r\n" % len(data), data, b"\r\n") if data else ()
+
+
 def encode_chunk(data: bytes) -> bytes:
     """Return ``data`` as one chunk of a chunked body."""
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -10,8 +10,8 @@
 from hoisthook.adapter.http.message import LAST_CHUNK
 from hoisthook.adapter.http.message import PROCESSING_STATUS
 from hoisthook.adapter.http.message import Header
+from hoisthook.adapter.http.message import chunk_parts
 from hoisthook.adapter.http.message import encode_answer_head
-from hoisthook.adapter.http.message import encode_chunk
 
 if TYPE_CHECKING:
     from hoisthook.adapter.http.body_stream import BodyStream
@@ -122,7 +122,7 @@
         head = self.begin(status, headers, chunked=False)
         if self.head.method == b"HEAD":
             body = b""
-        self._connection.write(head + body)
+        self._connection.write(head, body)
         self.end()
 
     async def respond_paced(
@@ -148,9 +148,7 @@
 
     def write(self, data: bytes, *, head: bytes = b"") -> None:
         """Send a piece of the body, preceded by the encoded head if given."""
-        if self._chunked and data:
-            data = encode_chunk(data)
-        self._connection.write(head + data)
+        self._connection.write(head, *(chunk_parts(data) if self._chunked else (data,)))
 
     async def drain(self) -> None:
         """Wait until the write buffer of the connection has space."""
--- a/src/hoisthook/mesh/admitted_exchange.py
+++ b/src/hoisthook/mesh/admitted_exchange.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import LAST_CHUNK
-from hoisthook.adapter.http.message import encode_chunk
+from hoisthook.adapter.http.message import chunk_parts
 from hoisthook.adapter.http.message import encode_request_head
 from hoisthook.adapter.http.node_connections import IdentityError
 from hoisthook.adapter.http.node_connections import UnidentifiedError
@@ -158,7 +158,7 @@
             await self._identification.complete()
         self._is_sent = True
         self._answer = self._connection.send(
-            self._first_bytes(), bodyless_answer=self._call.method == b"HEAD"
+            *self._first_parts(), bodyless_answer=self._call.method == b"HEAD"
         )
         self._continued = self._connection.go_ahead()
 
@@ -167,7 +167,9 @@
             await self._send()
         self._admitted = await self._continued
         if self._held_back:
-            self._connection.send_more(self._rest() if self._admitted else LAST_CHUNK)
+            if self._admitted:
+                self._connection.write(*chunk_parts(self._call.body))
+            self._connection.write(LAST_CHUNK)
         head = await self._answer
         return head, await read_buffered(self._connection, head)
 
@@ -190,19 +192,15 @@
             )
         return continued.done()
 
-    def _first_bytes(self) -> bytes:
+    def _first_parts(self) -> tuple[bytes, ...]:
         call = self._call
         headers = [*call.headers, self._hop(), (b"expect", b"100-continue")]
         if self._held_back:
             headers.append((b"transfer-encoding", b"chunked"))
-            return encode_request_head(call.method, call.target, headers)
+            return (encode_request_head(call.method, call.target, headers),)
         if call.body or call.method not in BODYLESS_METHODS:
             headers.append((b"content-length", b"%d" % len(call.body)))
-        return encode_request_head(call.method, call.target, headers) + call.body
-
-    def _rest(self) -> bytes:
-        body = self._call.body
-        return encode_chunk(body) + LAST_CHUNK if body else LAST_CHUNK
+        return encode_request_head(call.method, call.target, headers), call.body
 
     def _lost(self, code: ResultCode, *, is_silent: bool) -> Refused | Lost:
         if self._admitted:
--- a/src/hoisthook/mesh/buffered_exchange.py
+++ b/src/hoisthook/mesh/buffered_exchange.py
@@ -63,15 +63,15 @@
     framed = list(headers)
     if body or method not in BODYLESS_METHODS:
         framed.append((b"content-length", b"%d" % len(body)))
-    data = encode_request_head(method, target, framed) + body
+    data = (encode_request_head(method, target, framed), body)
     bodyless = method == b"HEAD"
     try:
         if piece_timeout is None:
             async with asyncio.timeout(timeout):
-                head = await connection.send(data, bodyless_answer=bodyless, accepts=accepts)
+                head = await connection.send(*data, bodyless_answer=bodyless, accepts=accepts)
                 return head, await read_buffered(connection, head)
         async with stall_tolerant_timeout(timeout):
-            head = await connection.send(data, bodyless_answer=bodyless, accepts=accepts)
+            head = await connection.send(*data, bodyless_answer=bodyless, accepts=accepts)
         return head, await read_buffered(connection, head, piece_timeout)
     except TimeoutError:
         connection.close()
--- a/standin/configuration_fleet.py
+++ b/standin/configuration_fleet.py
@@ -176,12 +176,12 @@
         self.idle_since = 0.0
 
     def send(
-        self, data: bytes, *, bodyless_answer: bool = False, accepts: object = None
+        self, *parts: bytes, bodyless_answer: bool = False, accepts: object = None
     ) -> asyncio.Future[AnswerHead]:
         """Send a request and return the head of its answer once that has arrived."""
         self.exchanges += 1
         head: asyncio.Future[AnswerHead] = asyncio.get_running_loop().create_future()
-        self._delivery = self._network.start_delivery(self._deliver(data, head))
+        self._delivery = self._network.start_delivery(self._deliver(b"".join(parts), head))
         return head
 
     def close(self) -> None:
