The next request of a connection waits until the caller has taken the last answer

Cause: respond writes without waiting for space, and the next request started at once; the number of queued requests was checked between pieces of data, each with thousands of requests. Ruled out: the bodies of the answers as the backend's connections hold them, since one answer at a time is read.

The write buffer has no high-water mark any more, so that writing is paused while anything is unsent. The next request of a connection starts once nothing is. 4 KiB are parsed at most before the queue is checked; what is left waits unparsed. A caller that takes nothing for the idle time-out is disconnected.

--- a/src/hoisthook/adapter/http/body_stream.py
+++ b/src/hoisthook/adapter/http/body_stream.py
@@ -53,11 +53,16 @@
         """Return the number of bytes received and not yet read."""
         return self._size
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether more is buffered than the reader should lag behind."""
+        return self._size > HIGH_WATER_BYTES
+
     def feed(self, data: bytes) -> None:
         """Add a chunk read from the socket."""
         self._chunks.append(data)
         self._size += len(data)
-        if self._size > HIGH_WATER_BYTES:
+        if self.is_full:
             self._source.pause_body()
         self._wake_reader()
 
@@ -84,9 +89,11 @@
         else:
             data = b"".join(self._chunks)
             self._chunks.clear()
-        if self._size > HIGH_WATER_BYTES:
-            self._source.resume_body()
+        was_full = self.is_full
         self._size = 0
+        if was_full:
+            # The source may feed further chunks at once.
+            self._source.resume_body()
         return data
 
     async def read(self) -> bytes:
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -25,6 +25,8 @@
     Handler = Callable[[ServerExchange], Awaitable[None]]
 
 MAX_PIPELINED = 8
+# Bytes that are parsed before the number of requests in them is checked.
+MAX_UNCHECKED_BYTES = 4 * 1024
 # Bytes after a malformed request that are read and dropped while an earlier one is being served,
 # since only reading shows that the caller has disconnected.
 MAX_DISCARDED_BYTES = 64 * 1024
@@ -70,6 +72,12 @@
         self._timer: asyncio.TimerHandle | None = None
         self._rejection: ResultCode | None = None
         self._discarded_bytes = 0
+        self._unparsed = b""
+        self._is_reading_paused = False
+        # The next request waits until the caller has taken the last answer.
+        self._awaits_flush = False
+        self._is_closing_after_flush = False
+        self._unsent_timer: asyncio.TimerHandle | None = None
         self.peer: tuple[str, int] = ("", 0)
         self.closed = False
 
@@ -81,16 +89,20 @@
     @property
     def is_closing(self) -> bool:
         """Return whether the connection is closed or closing."""
-        return self.closed or (self._transport is not None and self._transport.is_closing())
+        if self.closed or self._is_closing_after_flush:
+            return True
+        return self._transport is not None and self._transport.is_closing()
 
     @property
     def busy(self) -> bool:
-        """Return whether a request is being received or served."""
-        return bool(self._queue) or self._incoming is not None
+        """Return whether a request is being received or served, or its answer sent."""
+        return bool(self._queue) or self._incoming is not None or self.has_unsent
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and wait for the first head (asyncio callback)."""
         self._transport = cast("asyncio.Transport", transport)
+        # Writing is paused while the caller leaves anything unread that the socket does not hold.
+        self._transport.set_write_buffer_limits(high=0)
         self.peer = transport.get_extra_info("peername") or ("", 0)
         self._server.connection_opened(self)
         # The timeout for the first head starts now, so a connection without data is closed.
@@ -106,13 +118,79 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse request bytes."""
+        if self._is_closing_after_flush:
+            return
         if self._rejection is not None:
             self._discard(len(data))
             return
-        try:
-            self._parser.feed(data)
-        except RequestError as error:
-            self._reject(error.code)
+        self._unparsed += data
+        self._parse_unparsed()
+
+    def _parse_unparsed(self) -> None:
+        while self._unparsed and not self._is_reading_paused and self._rejection is None:
+            size = len(self._unparsed) if self._incoming is not None else MAX_UNCHECKED_BYTES
+            data, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            try:
+                self._parser.feed(data)
+            except RequestError as error:
+                self._unparsed = b""
+                self._reject(error.code)
+
+    def pause_body(self) -> None:
+        """Pause reading while a body or the queue of requests is full."""
+        self._update_reading()
+
+    def resume_body(self) -> None:
+        """Resume reading if neither a body nor the queue of requests is full."""
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        must_pause = len(self._queue) > MAX_PIPELINED or (
+            self._incoming is not None and self._incoming.body.is_full
+        )
+        if must_pause == self._is_reading_paused:
+            return
+        self._is_reading_paused = must_pause
+        if must_pause:
+            super().pause_body()
+            return
+        self._parse_unparsed()
+        if not self._is_reading_paused:
+            super().resume_body()
+
+    def pause_writing(self) -> None:
+        """Watch whether the caller reads on, as it has left bytes unread (asyncio callback)."""
+        super().pause_writing()
+        if self._unsent_timer is None:
+            self._watch_unsent()
+
+    def _watch_unsent(self) -> None:
+        self._unsent_timer = self._loop.call_later(
+            self._server.idle_timeout, self._check_unsent, self._unsent_bytes()
+        )
+
+    def _check_unsent(self, before: int) -> None:
+        """Abort the connection of a caller that has not read anything for the idle timeout."""
+        if self._unsent_bytes() == before:
+            self.abort()
+        else:
+            self._watch_unsent()
+
+    def _unsent_bytes(self) -> int:
+        assert self._transport is not None
+        return self._transport.get_write_buffer_size() + sum(map(len, self._unsent))
+
+    def flushed(self) -> None:
+        """Go on with the next request, as the caller has taken all answers."""
+        super().flushed()
+        if self._unsent_timer is not None:
+            self._unsent_timer.cancel()
+            self._unsent_timer = None
+        if self._is_closing_after_flush and self._transport is not None:
+            self._transport.close()
+        elif self._awaits_flush:
+            self._awaits_flush = False
+            self._serve_next()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the running handler that its caller has disconnected (asyncio callback)."""
@@ -124,6 +202,10 @@
                     "connection to the caller was closed before the end of the request body"
                 )
             )
+        self._unsent.clear()
+        self._unparsed = b""
+        if self._unsent_timer is not None:
+            self._unsent_timer.cancel()
         self.release_writer()
         if self._queue:
             self._queue[0].disconnected()
@@ -151,10 +233,9 @@
                 exchange.send_continue()
         self._incoming = exchange
         self._queue.append(exchange)
-        if len(self._queue) == 1:
+        if len(self._queue) == 1 and not self._awaits_flush:
             self._start_next()
-        elif len(self._queue) > MAX_PIPELINED:
-            self.pause_body()
+        self._update_reading()
 
     def body_received(self, data: bytes) -> None:
         """Pass on a piece of the body."""
@@ -189,11 +270,23 @@
         # A caller that was not sent 100 (Continue) ends its body unsent, see `ServerExchange`.
         body_open = not exchange.body.complete and not exchange.expects_continue
         if not keep or body_open or self._server.stopping:
-            if self._transport is not None:
-                self._transport.close()
+            self._close_when_flushed()
+        elif self.has_unsent:
+            self._awaits_flush = True
+        else:
+            self._serve_next()
+
+    def _close_when_flushed(self) -> None:
+        if self._unsent:
+            self._is_closing_after_flush = True
+        elif self._transport is not None:
+            self._transport.close()
+
+    def _serve_next(self) -> None:
+        if self._server.stopping:
+            self._close_when_flushed()
             return
-        if len(self._queue) == MAX_PIPELINED:
-            self.resume_body()
+        self._update_reading()
         if self._queue:
             self._start_next()
         elif self._rejection is not None:
@@ -223,7 +316,7 @@
     def _discard(self, size: int) -> None:
         self._discarded_bytes += size
         if self._discarded_bytes > MAX_DISCARDED_BYTES:
-            self.pause_body()
+            super().pause_body()
 
     def _reject(self, code: ResultCode) -> None:
         self._rejection = code
@@ -237,8 +330,7 @@
 
     def _answer_rejection(self, code: ResultCode) -> None:
         self.write(self._server.bad_request(code))
-        if self._transport is not None:
-            self._transport.close()
+        self._close_when_flushed()
 
     def _arm_idle_timer(self) -> None:
         self._timer = self._loop.call_later(self._server.idle_timeout, self._on_idle_timeout)
--- a/tests/adapter/http/test_upgrade.py
+++ b/tests/adapter/http/test_upgrade.py
@@ -79,6 +79,9 @@
     def is_closing(self) -> bool:
         return self.closed.is_set()
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Go on: everything written is taken at once."""
+
     def pause_reading(self) -> None:
         """Go on: all data has been sent already."""
 
