One budget of a node counts what it receives until it is sent on

Cause: nothing bounded the sum of the bodies, and answers were counted only while they were read. Two things kept memory that had been given up: the traceback of a stored error, until the garbage collector ran, and gaps on the heap. Ruled out by measuring them apart: bytes in the sockets, 2 to 3 MB.

A connection is a holder in the budget of its node: requests count from the first byte until their exchange ends, with a fixed number for each connection, request and header, and answers until the caller has taken them. When the budget is full, the holder with most bytes times the age of its last byte gives up what nobody works on. What has been given up and is not freed yet makes others wait for a turn of the loop, so that no more is given up for it. An eighth of the budget is for connections with up to 64 KiB. An incomplete request is answered 2029, 503, not run, which is so: it is refused before it is offered to a server, also behind a hop.

--- a/src/hoisthook/adapter/http/body_stream.py
+++ b/src/hoisthook/adapter/http/body_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from collections import deque
 from io import BytesIO
 from typing import TYPE_CHECKING
@@ -108,7 +109,8 @@
             if self.complete:
                 return b""
             if self.error is not None:
-                raise self.error
+                # A copy, since the traceback of an error that is kept would keep its frames alive.
+                raise copy.copy(self.error)
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         return self.take_buffered()
@@ -134,19 +136,20 @@
         TimeoutError
             If a piece did not arrive in time.
         """
-        # Its value is its buffer, where joining pieces would need twice the memory.
-        body = BytesIO()
-        while True:
-            async with asyncio.timeout(piece_timeout):
-                piece = await self.read()
-            if not piece:
-                return body.getvalue()
-            size = body.tell() + len(piece)
-            if max_bytes is not None and size > max_bytes:
-                raise BodyTooLargeError(f"body exceeds the limit of {max_bytes} bytes")
-            if size == len(piece) and self.complete and not self._chunks:
-                return piece
-            body.write(piece)
+        # The value of a BytesIO is its buffer, where joining pieces would need twice the memory. It
+        # is closed because the traceback of an error keeps this frame alive.
+        with BytesIO() as body:
+            while True:
+                async with asyncio.timeout(piece_timeout):
+                    piece = await self.read()
+                if not piece:
+                    return body.getvalue()
+                size = body.tell() + len(piece)
+                if max_bytes is not None and size > max_bytes:
+                    raise BodyTooLargeError(f"body exceeds the limit of {max_bytes} bytes")
+                if size == len(piece) and self.complete and not self._chunks:
+                    return piece
+                body.write(piece)
 
     def _wake_reader(self) -> None:
         waiter = self._waiter
--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.byte_budget import ByteBudget
 from hoisthook.adapter.http.message import encode_answer_head
 from hoisthook.adapter.http.server_connection import ServerConnection
 from hoisthook.exceptions import HoisthookError
@@ -43,6 +45,8 @@
     auto_continue : bool
         Whether 100 (Continue) is sent at once to a request that expects it; if not, the handler
         sends it.
+    budget : ByteBudget, optional
+        For what its connections hold; unlimited by default.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         head_timeout: float = HEAD_TIMEOUT_SECONDS,
         idle_timeout: float = IDLE_TIMEOUT_SECONDS,
         auto_continue: bool = True,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._address = address
         self._server: asyncio.Server | None = None
@@ -63,6 +68,7 @@
         self.handler = handler
         self.stopping = False
         self.auto_continue = auto_continue
+        self.budget = budget or ByteBudget(sys.maxsize)
         self.head_timeout = head_timeout
         self.idle_timeout = idle_timeout
         self.max_head_bytes = MAX_HEAD_BYTES
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -3,28 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import cast
 
 from hoisthook.adapter.http.body_stream import BodyStream
+from hoisthook.adapter.http.byte_budget import Grant
 from hoisthook.adapter.http.flow_control import FlowControl
 from hoisthook.adapter.http.request_parser import RequestParser
 from hoisthook.adapter.http.server_exchange import ServerExchange
 from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import MemoryFullError
 from hoisthook.exceptions import RequestError
 from hoisthook.result_code import ResultCode
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterator
 
+    from hoisthook.adapter.http.byte_budget import ByteBudget
     from hoisthook.adapter.http.message import RequestHead
 
     Handler = Callable[[ServerExchange], Awaitable[None]]
 
 MAX_PIPELINED = 8
+# Memory that is counted besides the bytes received, so that many small things are no way around
+# the budget: of a connection, of a request, and of each of its headers.
+CONNECTION_BYTES = 8 * 1024
+REQUEST_BYTES = 4 * 1024
+HEADER_BYTES = 200
 # Bytes that are parsed before the number of requests in them is checked.
 MAX_UNCHECKED_BYTES = 4 * 1024
 # Bytes after a malformed request that are read and dropped while an earlier one is being served,
@@ -36,6 +46,7 @@
     """Interface of the server that a connection belongs to."""
 
     handler: Handler
+    budget: ByteBudget
     stopping: bool
     auto_continue: bool
     head_timeout: float
@@ -60,11 +71,29 @@
 
 
 class ServerConnection(FlowControl, asyncio.BufferedProtocol):
-    """Parses requests and runs the handler of its server for each of them, in order."""
+    """Parses requests and runs the handler of its server for each of them, in order.
+
+    What it holds is counted in the budget of its server: requests from their first byte until
+    their exchange ends, and answers until the caller has taken them.
+
+    Attributes
+    ----------
+    held : int
+        Bytes of the budget that are assigned to it.
+    received_at : float
+        When it last received something, on the loop's clock.
+    """
 
     def __init__(self, server: ConnectionServer) -> None:
         super().__init__()
         self._server = server
+        self._budget = server.budget
+        self.held = 0
+        self.received_at = 0.0
+        # Parts of what is held: of the request that is being received, and of unsent answers.
+        self._held_for_incoming = 0
+        self._held_for_unsent = 0
+        self._being_freed = 0
         self._parser = RequestParser(self)
         self._loop = asyncio.get_running_loop()
         self._queue: deque[ServerExchange] = deque()
@@ -73,6 +102,9 @@
         self._rejection: ResultCode | None = None
         self._discarded_bytes = 0
         self._unparsed = b""
+        # Received while the budget was full.
+        self._uncounted = b""
+        self._counting: asyncio.Handle | None = None
         self._is_reading_paused = False
         # The next request waits until the caller has taken the last answer.
         self._awaits_flush = False
@@ -104,6 +136,10 @@
         # Writing is paused while the caller leaves anything unread that the socket does not hold.
         self._transport.set_write_buffer_limits(high=0)
         self.peer = transport.get_extra_info("peername") or ("", 0)
+        self._budget.add(self)
+        if self._budget.hold(self, CONNECTION_BYTES) is Grant.REFUSED:
+            self.abort()
+        self.received_at = self._loop.time()
         self._server.connection_opened(self)
         # The timeout for the first head starts now, so a connection without data is closed.
         self._timer = self._loop.call_later(self._server.head_timeout, self._on_idle_timeout)
@@ -123,19 +159,95 @@
         if self._rejection is not None:
             self._discard(len(data))
             return
-        self._unparsed += data
-        self._parse_unparsed()
+        self.received_at = self._loop.time()
+        self._uncounted += data
+        self._count_received()
+
+    def _count_received(self) -> None:
+        """Count and parse what was received once the budget has bytes for it."""
+        grant = self._budget.hold(self, len(self._uncounted))
+        if grant is Grant.REFUSED:
+            self.release_memory()
+        elif grant is Grant.GIVEN:
+            self._unparsed += self._uncounted
+            self._uncounted = b""
+            self._parse_unparsed()
+        elif self._counting is None:
+            self._counting = self._loop.call_soon(self._count_later)
+        self._update_reading()
+
+    def _count_later(self) -> None:
+        self._counting = None
+        if self._uncounted:
+            self._count_received()
+
+    @property
+    def is_releasable(self) -> bool:
+        """Return whether it holds a request that is not complete or waits, or an unsent answer."""
+        if self._queue:
+            return self._incoming is not None or len(self._queue) > 1 or self.has_unsent
+        return self._held_for_incoming > 0 or bool(self._unparsed) or self.has_unsent
+
+    def release_memory(self) -> None:
+        """Give up requests that are not complete or wait, and answers that are not taken.
+
+        The connection is closed, at once or after the answer to the request that is being served.
+        """
+        if self.has_unsent:
+            self._unsent.clear()
+            self._budget.give_back(self, self.held)
+            self.abort()
+            return
+        while len(self._queue) > 1:
+            self._give_back_request(self._queue.pop())
+        if self._queue and self._incoming is self._queue[0]:
+            # Its handler frees it when it learns of this.
+            self._being_freed += self._incoming.held + self._held_for_incoming
+            self._budget.give_back_later(self, self._being_freed)
+            self._incoming.held = self._held_for_incoming = 0
+        self._drop_unparsed()
+        self._budget.give_back(self, self._held_for_incoming)
+        self._held_for_incoming = 0
+        self._reject(ResultCode.NODE_MEMORY_FULL)
+
+    def _give_back_request(self, exchange: ServerExchange) -> None:
+        self._budget.give_back(self, exchange.held)
+        exchange.held = 0
+        self._budget.freed(self._being_freed)
+        self._being_freed = 0
+
+    @contextlib.contextmanager
+    def holding(self, size: int) -> Iterator[None]:
+        """Count an answer that is being sent."""
+        self._budget.hold_anyway(self, size)
+        try:
+            yield
+        finally:
+            self._budget.give_back(self, size)
+
+    def write(self, *parts: bytes) -> None:
+        """Send bytes, and count them until the caller has taken them."""
+        super().write(*parts)
+        if self.has_unsent:
+            size = sum(map(len, parts))
+            self._held_for_unsent += size
+            self._budget.hold_anyway(self, size)
 
     def _parse_unparsed(self) -> None:
         while self._unparsed and not self._is_reading_paused and self._rejection is None:
             size = len(self._unparsed) if self._incoming is not None else MAX_UNCHECKED_BYTES
             data, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._held_for_incoming += len(data)
             try:
                 self._parser.feed(data)
             except RequestError as error:
-                self._unparsed = b""
+                self._drop_unparsed()
                 self._reject(error.code)
 
+    def _drop_unparsed(self) -> None:
+        self._budget.give_back(self, len(self._unparsed))
+        self._unparsed = self._uncounted = b""
+
     def pause_body(self) -> None:
         """Pause reading while a body or the queue of requests is full."""
         self._update_reading()
@@ -145,8 +257,10 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        must_pause = len(self._queue) > MAX_PIPELINED or (
-            self._incoming is not None and self._incoming.body.is_full
+        must_pause = (
+            bool(self._uncounted)
+            or len(self._queue) > MAX_PIPELINED
+            or (self._incoming is not None and self._incoming.body.is_full)
         )
         if must_pause == self._is_reading_paused:
             return
@@ -183,6 +297,8 @@
     def flushed(self) -> None:
         """Go on with the next request, as the caller has taken all answers."""
         super().flushed()
+        self._budget.give_back(self, self._held_for_unsent)
+        self._held_for_unsent = 0
         if self._unsent_timer is not None:
             self._unsent_timer.cancel()
             self._unsent_timer = None
@@ -195,6 +311,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the running handler that its caller has disconnected (asyncio callback)."""
         self.closed = True
+        self._budget.remove(self)
+        self._budget.freed(self._being_freed)
+        self._being_freed = 0
         self._disarm_timer()
         if self._incoming is not None:
             self._incoming.body.fail(
@@ -203,7 +322,7 @@
                 )
             )
         self._unsent.clear()
-        self._unparsed = b""
+        self._unparsed = self._uncounted = b""
         if self._unsent_timer is not None:
             self._unsent_timer.cancel()
         self.release_writer()
@@ -233,6 +352,8 @@
                 exchange.send_continue()
         self._incoming = exchange
         self._queue.append(exchange)
+        self._budget.hold_anyway(self, REQUEST_BYTES + HEADER_BYTES * len(head.headers))
+        exchange.held = REQUEST_BYTES + HEADER_BYTES * len(head.headers)
         if len(self._queue) == 1 and not self._awaits_flush:
             self._start_next()
         self._update_reading()
@@ -245,9 +366,18 @@
     def request_completed(self) -> None:
         """Finish the request."""
         if self._incoming is not None:
+            self._move_held_bytes(self._incoming)
             self._incoming.body.finish()
             self._incoming = None
 
+    def _move_held_bytes(self, exchange: ServerExchange) -> None:
+        """Hold for an exchange what has been received for it."""
+        if exchange.ended:
+            self._budget.give_back(self, self._held_for_incoming)
+        else:
+            exchange.held += self._held_for_incoming
+        self._held_for_incoming = 0
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is being received or served."""
         if not self.busy and self._transport is not None:
@@ -267,6 +397,7 @@
         """Start the next request, or close the connection unless ``keep`` is set."""
         if self._queue and self._queue[0] is exchange:
             self._queue.popleft()
+        self._give_back_request(exchange)
         # A caller that was not sent 100 (Continue) ends its body unsent, see `ServerExchange`.
         body_open = not exchange.body.complete and not exchange.expects_continue
         if not keep or body_open or self._server.stopping:
@@ -322,7 +453,7 @@
         self._rejection = code
         self._disarm_timer()
         if self._incoming is not None:
-            self._incoming.body.fail(BrokenExchangeError("malformed request body"))
+            self._incoming.body.fail(_body_error(code))
             self._incoming = None
             return
         if not self._queue:
@@ -352,3 +483,9 @@
         self._timer = None
         if not self.busy and self._transport is not None:
             self._transport.close()
+
+
+def _body_error(code: ResultCode) -> BrokenExchangeError:
+    if code is ResultCode.NODE_MEMORY_FULL:
+        return MemoryFullError("no memory for the rest of the request body")
+    return BrokenExchangeError("malformed request body")
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -50,6 +50,8 @@
     expects_continue : bool
         Whether the caller waits for 100 (Continue) before it sends the body. If the final answer
         is sent first, the caller ends the body without sending the rest and keeps the connection.
+    held : int
+        Bytes of the budget that the request takes.
     arrived : float
         Time at which the head was complete, on the loop's clock. The handler starts later if an
         earlier request of the connection is still being served.
@@ -65,6 +67,7 @@
         "ended",
         "expects_continue",
         "head",
+        "held",
         "started",
         "task",
     )
@@ -80,6 +83,7 @@
         self.body = body
         self.cancel_on_disconnect = True
         self.expects_continue = False
+        self.held = 0
         self.started = False
         self.ended = False
         self.task: asyncio.Task[None] | None = None
@@ -137,15 +141,19 @@
         headers.append((b"content-length", b"%d" % len(body)))
         self.write(b"", head=self.begin(status, headers, chunked=False))
         if self.head.method != b"HEAD":
-            for start in range(0, len(body), pacer.piece_bytes):
-                piece = body[start : start + pacer.piece_bytes]
-                seconds = pacer.wait(len(piece), asyncio.get_running_loop().time())
-                if seconds > 0:
-                    await asyncio.sleep(seconds)
-                self.write(piece)
-                await self.drain()
+            with self._connection.holding(len(body)):
+                await self._write_paced(body, pacer)
         self.end()
 
+    async def _write_paced(self, body: bytes, pacer: AnswerPacer) -> None:
+        for start in range(0, len(body), pacer.piece_bytes):
+            piece = body[start : start + pacer.piece_bytes]
+            seconds = pacer.wait(len(piece), asyncio.get_running_loop().time())
+            if seconds > 0:
+                await asyncio.sleep(seconds)
+            self.write(piece)
+            await self.drain()
+
     def write(self, data: bytes, *, head: bytes = b"") -> None:
         """Send a piece of the body, preceded by the encoded head if given."""
         self._connection.write(head, *(chunk_parts(data) if self._chunked else (data,)))
--- a/src/hoisthook/exceptions.py
+++ b/src/hoisthook/exceptions.py
@@ -49,6 +49,10 @@
     """An HTTP exchange failed before its message was complete."""
 
 
+class MemoryFullError(BrokenExchangeError):
+    """A request was given up before its end, as the node has no memory for it."""
+
+
 class BodyTooLargeError(Exception):
     """The body of a request exceeds its limit."""
 
@@ -69,7 +73,11 @@
     """
 
     def __init__(self, what: str, bound: int) -> None:
-        super().__init__(f"answer exceeds the bound of {bound} {what}")
+        super().__init__(what, bound)
+
+    def __str__(self) -> str:
+        what, bound = self.args
+        return f"answer exceeds the bound of {bound} {what}"
 
 
 class UnreachableError(Exception):
--- a/src/hoisthook/mesh/buffered_exchange.py
+++ b/src/hoisthook/mesh/buffered_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from io import BytesIO
 from typing import TYPE_CHECKING
 
 from hoisthook.adapter.http.message import encode_request_head
@@ -118,15 +119,17 @@
     has_body = not body.complete or body.buffered > 0
     if has_body and length.isdigit() and int(length) > MAX_ANSWER_BYTES:
         raise AnswerTooLargeError("bytes of the body, as announced", MAX_ANSWER_BYTES)
-    pieces = [body.take_buffered()]
-    size = len(pieces[0])
-    with connection.budget.share() as share:
+    first = body.take_buffered()
+    if body.complete and not body.buffered:
+        return first
+    # Closed because the traceback of an error keeps this frame alive.
+    with connection.budget.share() as share, BytesIO() as buffer:
+        buffer.write(first)
         while not body.complete or body.buffered:
             async with asyncio.timeout(piece_timeout):
                 piece = await body.read()
-            pieces.append(piece)
-            size += len(piece)
-            if size > MAX_ANSWER_BYTES:
+            buffer.write(piece)
+            if buffer.tell() > MAX_ANSWER_BYTES:
                 raise AnswerTooLargeError("bytes of the body", MAX_ANSWER_BYTES)
-            await share.grow_to(size)
-    return b"".join(pieces)
+            await share.grow_to(buffer.tell())
+        return buffer.getvalue()
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -8,6 +8,7 @@
 
 from hoisthook.adapter.http.message import end_to_end
 from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import MemoryFullError
 from hoisthook.mesh import hop_header
 from hoisthook.mesh.hop_header import HopHeader
 from hoisthook.mesh.outcome import CompleteAnswer
@@ -28,6 +29,7 @@
 
 _FRAMING = frozenset({b"content-length"})
 NO_RETRY_AFTER = 0.0
+MEMORY_RETRY_SECONDS = 0.5
 # Timeout for each piece of a request body. A stalled body occupies a slot; a lost packet is
 # retransmitted within this time.
 PIECE_SECONDS = 0.5
@@ -72,6 +74,8 @@
         """Serve one request from another node."""
         try:
             await self._serve(exchange)
+        except MemoryFullError:
+            await self._answer(exchange, Refused(ResultCode.NODE_MEMORY_FULL, MEMORY_RETRY_SECONDS))
         except (BrokenExchangeError, TimeoutError) as error:
             # The request was not executed; closing the connection informs the sender.
             self._log.decision("hop_cut", peer=exchange.peer[0], reason=repr(error))
--- a/src/hoisthook/mesh/ingress.py
+++ b/src/hoisthook/mesh/ingress.py
@@ -9,6 +9,7 @@
 
 from hoisthook.exceptions import BodyTooLargeError
 from hoisthook.exceptions import BrokenExchangeError
+from hoisthook.exceptions import MemoryFullError
 from hoisthook.mesh.outcome import CompleteAnswer
 from hoisthook.mesh.routed_call import RoutedCall
 from hoisthook.node.call import Lost
@@ -61,6 +62,8 @@
 
 # A node usually receives its configuration within about a second of its start.
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
+# Requests that hold the memory of a node complete or are given up within their time, some seconds.
+MEMORY_RETRY_SECONDS = 0.5
 # Largest request body that a node buffers if operators set no limit.
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -201,6 +204,10 @@
         except BodyTooLargeError:
             self._finish_unserved(exchange, accepted, Refused(ResultCode.BODY_TOO_LARGE, 0.0))
             return
+        except MemoryFullError:
+            refused = Refused(ResultCode.NODE_MEMORY_FULL, MEMORY_RETRY_SECONDS)
+            self._finish_unserved(exchange, accepted, refused)
+            return
         except BrokenExchangeError:
             exchange.abort()
             return
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -70,8 +70,10 @@
 # Shorter than the idle timeout of the other node's server, see `CallServer`.
 PEER_IDLE_SECONDS = 30.0
 HOUSEKEEPING_SECONDS = 2.0
-# Share of the memory that the answers which are being read may take.
-ANSWER_MEMORY_SHARE = 0.125
+# Share of the memory for what callers, backend server, store and other nodes send and has not been
+# sent on. A node without load takes 34 MB, and an allocator needs more than is in use. On the
+# smallest machines, with 200 MB, the largest body fits once.
+RECEIVED_MEMORY_SHARE = 0.4
 BYTES_PER_MB = 1_000_000
 # Pause before a failed background task is restarted.
 RESTART_SECONDS = 0.5
@@ -85,6 +87,11 @@
 CLOSE_MARGIN_SECONDS = 0.5
 
 
+def make_budget(settings: MeshSettings) -> ByteBudget:
+    """Return the budget of a node for what it receives."""
+    return ByteBudget(int(RECEIVED_MEMORY_SHARE * settings.node.memory_mb * BYTES_PER_MB))
+
+
 class MeshNode:
     """The node process of one backend server on the platform.
 
@@ -104,6 +111,8 @@
         Monotonic clock of the event loop.
     log : EventLog
         Receives decisions and events.
+    budget : ByteBudget, optional
+        For what the process receives, shared with the store; see `make_budget`.
     """
 
     def __init__(
@@ -116,6 +125,7 @@
         decode: ConfigurationDecoder,
         clock: Clock,
         log: EventLog,
+        budget: ByteBudget | None = None,
     ) -> None:
         self.settings = settings
         self._log = log
@@ -123,9 +133,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._randomness = random.Random(secrets.randbits(64))
         self._stalls = LoopStalls(log)
-        answers = ByteBudget(int(ANSWER_MEMORY_SHARE * settings.node.memory_mb * BYTES_PER_MB))
-        self._backend_pool = ClientPool(idle_limit=BACKEND_IDLE_SECONDS, budget=answers)
-        self._peer_pool = ClientPool(idle_limit=PEER_IDLE_SECONDS, budget=answers)
+        self.budget = budget or make_budget(settings)
+        self._backend_pool = ClientPool(idle_limit=BACKEND_IDLE_SECONDS, budget=self.budget)
+        self._peer_pool = ClientPool(idle_limit=PEER_IDLE_SECONDS, budget=self.budget)
         self.stopping = False
         self.configuration = ConfigurationHolder(log)
         self.configuration.on_change(self._apply_configuration)
@@ -226,9 +236,14 @@
         self._link_pacer = LinkPacer(settings.node.link_mbps)
         self._ingress = self._make_ingress(service, caller_wire)
         self._hop_server = HopServer(service, self.link, self.sync, self._link_pacer, clock, log)
-        self._callers = CallServer(parse_address(settings.listen.callers), self._ingress.handle)
+        self._callers = CallServer(
+            parse_address(settings.listen.callers), self._ingress.handle, budget=self.budget
+        )
         self._peers = CallServer(
-            parse_address(settings.listen.peers), self._serve_peer, auto_continue=False
+            parse_address(settings.listen.peers),
+            self._serve_peer,
+            auto_continue=False,
+            budget=self.budget,
         )
 
     @property
--- a/src/hoisthook/result_code.py
+++ b/src/hoisthook/result_code.py
@@ -226,6 +226,10 @@
         "Come back as told.",
     )
 
+    NODE_MEMORY_FULL = CodeEntry(
+        2029, 503, Ran.NOT_RUN, "The node has no memory for its body now.", "Come back as told."
+    )
+
     ANSWER_LOST = CodeEntry(
         3001, 502, Ran.UNKNOWN, "The answer broke off or never came.", "Repeat with the same key."
     )
