Connections that send nothing leave descriptors for others

Cause: each listener allowed 4,096 connections, and the process may have 4,100 descriptors in all. The event loop accepts as many connections at once as the backlog, 1,024, before any is counted, and stops accepting for a second when no descriptor is left. Ruled out: the time for a head, which only makes the gap recur.

Listeners have shares of the descriptors of the process, from the platform's maxFds by a setting, else from the system's limit; the backlog is a quarter of a listener's limit at most. At its limit a listener closes a connection without a request in progress, unused ones first, the longest silent before others. Peers have the larger share, since their number grows with the deployment.

--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -27,6 +27,8 @@
 IDLE_CLOSE_DELAY_SECONDS = 0.3
 MAX_CONNECTIONS = 4096
 BACKLOG = 1024
+# Largest backlog as a share of the connections that a server may have.
+BACKLOG_SHARE = 0.25
 
 
 class CallServer:
@@ -47,6 +49,8 @@
         sends it.
     budget : ByteBudget, optional
         For what its connections hold; unlimited by default.
+    max_connections : int
+        Largest number of its connections. Beyond that, idle ones are closed for new ones.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         idle_timeout: float = IDLE_TIMEOUT_SECONDS,
         auto_continue: bool = True,
         budget: ByteBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
         self._address = address
         self._server: asyncio.Server | None = None
@@ -69,6 +74,7 @@
         self.stopping = False
         self.auto_continue = auto_continue
         self.budget = budget or ByteBudget(sys.maxsize)
+        self._max_connections = max_connections
         self.head_timeout = head_timeout
         self.idle_timeout = idle_timeout
         self.max_head_bytes = MAX_HEAD_BYTES
@@ -93,7 +99,10 @@
         loop = asyncio.get_running_loop()
         try:
             self._server = await loop.create_server(
-                lambda: ServerConnection(self), *self._address, backlog=BACKLOG
+                lambda: ServerConnection(self),
+                *self._address,
+                # As many connections are accepted at once, before they are counted.
+                backlog=min(BACKLOG, max(1, int(BACKLOG_SHARE * self._max_connections))),
             )
         except OSError as error:
             detail = f"{format_address(self._address)}: {error.strerror}"
@@ -138,9 +147,14 @@
             connection.abort()
 
     def connection_opened(self, connection: ServerConnection) -> None:
-        """Register a connection; abort it if there are `MAX_CONNECTIONS` already."""
-        if len(self._connections) >= MAX_CONNECTIONS:
-            connection.abort()
+        """Register a connection; if there are too many, close the longest idle one, or this one.
+
+        Those that have not been used yet are closed first.
+        """
+        if len(self._connections) >= self._max_connections:
+            idle = (c for c in self._connections if not c.busy and not c.is_closing)
+            unneeded = min(idle, key=lambda c: (c.is_used, c.received_at), default=connection)
+            unneeded.abort()
         self._connections.add(connection)
         self._idle.clear()
 
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -82,6 +82,8 @@
         Bytes of the budget that are assigned to it.
     received_at : float
         When it last received something, on the loop's clock.
+    is_used : bool
+        Whether a request has been answered.
     """
 
     def __init__(self, server: ConnectionServer) -> None:
@@ -90,6 +92,7 @@
         self._budget = server.budget
         self.held = 0
         self.received_at = 0.0
+        self.is_used = False
         # Parts of what is held: of the request that is being received, and of unsent answers.
         self._held_for_incoming = 0
         self._held_for_unsent = 0
@@ -397,6 +400,7 @@
         """Start the next request, or close the connection unless ``keep`` is set."""
         if self._queue and self._queue[0] is exchange:
             self._queue.popleft()
+        self.is_used = True
         self._give_back_request(exchange)
         # A caller that was not sent 100 (Continue) ends its body unsent, see `ServerExchange`.
         body_open = not exchange.body.complete and not exchange.expects_continue
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -10,6 +10,7 @@
 from hoisthook.adapter.http.byte_budget import ByteBudget
 from hoisthook.adapter.http.call_server import CallServer
 from hoisthook.adapter.http.client_pool import ClientPool
+from hoisthook.adapter.http.connection_limits import connection_limits
 from hoisthook.adapter.http.node_connections import IDENTITY_PATH
 from hoisthook.adapter.http.node_connections import answer_identity
 from hoisthook.adapter.loop_stalls import LoopStalls
@@ -236,14 +237,19 @@
         self._link_pacer = LinkPacer(settings.node.link_mbps)
         self._ingress = self._make_ingress(service, caller_wire)
         self._hop_server = HopServer(service, self.link, self.sync, self._link_pacer, clock, log)
+        self.connection_limits = connection_limits(settings.node.max_descriptors)
         self._callers = CallServer(
-            parse_address(settings.listen.callers), self._ingress.handle, budget=self.budget
+            parse_address(settings.listen.callers),
+            self._ingress.handle,
+            budget=self.budget,
+            max_connections=self.connection_limits.callers,
         )
         self._peers = CallServer(
             parse_address(settings.listen.peers),
             self._serve_peer,
             auto_continue=False,
             budget=self.budget,
+            max_connections=self.connection_limits.peers,
         )
 
     @property
--- a/src/hoisthook/settings/mesh_settings.py
+++ b/src/hoisthook/settings/mesh_settings.py
@@ -22,6 +22,8 @@
         Bandwidth of the instance's link, in megabits per second; 0 if unknown.
     memory_mb : float
         Memory that the process may use, in megabytes.
+    max_descriptors : int
+        Descriptors that the process may have open; 0 for the limit that the system has set.
     """
 
     id: str
@@ -30,6 +32,7 @@
     first_start: bool = False
     link_mbps: float = 0.0
     memory_mb: float = 256.0
+    max_descriptors: int = 0
 
 
 class MeshListenSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/hoisthook/settings/settings_file.py
+++ b/src/hoisthook/settings/settings_file.py
@@ -159,6 +159,7 @@
         ("store.readers_per_data_centre", settings.store.readers_per_data_centre, 1, 1000),
         ("store.apply_seconds", settings.store.apply_seconds, 0.5, 600),
         ("node.memory_mb", settings.node.memory_mb, MIN_MEMORY_MB, 1e6),
+        ("node.max_descriptors", settings.node.max_descriptors, 0, 10_000_000),
         ("node.link_mbps", settings.node.link_mbps, 0.0, 1e6),
         ("cold.rate_factor", settings.cold.rate_factor, 0.0, 1000.0),
         ("cold.extra", settings.cold.extra, 0.0, 1e6),
