--- a/src/hoisthook/adapter/http/byte_budget.py
+++ b/src/hoisthook/adapter/http/byte_budget.py
@@ -15,6 +15,8 @@
 # Bytes of each answer that are not counted, so that small ones never wait; and bytes of a holder
 # for which the reserve is there.
 FREE_BYTES = 64 * 1024
+# When to come back after a refusal; what holds the memory completes or is given up within seconds.
+MEMORY_RETRY_SECONDS = 0.5
 # Part of the budget that is left to holders with few bytes.
 RESERVED_SHARE = 0.125
 # Part of the budget that is freed at once when it is full, so that holders are ranked rarely.
--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -153,8 +153,7 @@
         """
         if len(self._connections) >= self._max_connections:
             idle = (c for c in self._connections if not c.busy and not c.is_closing)
-            unneeded = min(idle, key=lambda c: (c.is_used, c.received_at), default=connection)
-            unneeded.abort()
+            min(idle, key=_last_use, default=connection).abort()
         self._connections.add(connection)
         self._idle.clear()
 
@@ -187,3 +186,7 @@
             (b"connection", b"close"),
         ]
         return encode_answer_head(entry.http_status, headers)
+
+
+def _last_use(connection: ServerConnection) -> tuple[bool, float]:
+    return connection.is_used, connection.account.received_at
--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections import deque
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -11,6 +10,7 @@
 
 from hoisthook.adapter.http.body_stream import BodyStream
 from hoisthook.adapter.http.byte_budget import Grant
+from hoisthook.adapter.http.connection_account import ConnectionAccount
 from hoisthook.adapter.http.flow_control import FlowControl
 from hoisthook.adapter.http.request_parser import RequestParser
 from hoisthook.adapter.http.server_exchange import ServerExchange
@@ -22,7 +22,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    from collections.abc import Iterator
 
     from hoisthook.adapter.http.byte_budget import ByteBudget
     from hoisthook.adapter.http.message import RequestHead
@@ -30,11 +29,6 @@
     Handler = Callable[[ServerExchange], Awaitable[None]]
 
 MAX_PIPELINED = 8
-# Memory that is counted besides the bytes received, so that many small things are no way around
-# the budget: of a connection, of a request, and of each of its headers.
-CONNECTION_BYTES = 8 * 1024
-REQUEST_BYTES = 4 * 1024
-HEADER_BYTES = 200
 # Bytes that are parsed before the number of requests in them is checked.
 MAX_UNCHECKED_BYTES = 4 * 1024
 # Bytes after a malformed request that are read and dropped while an earlier one is being served,
@@ -78,10 +72,8 @@
 
     Attributes
     ----------
-    held : int
-        Bytes of the budget that are assigned to it.
-    received_at : float
-        When it last received something, on the loop's clock.
+    account : ConnectionAccount
+        What it holds of the memory of the node.
     is_used : bool
         Whether a request has been answered.
     """
@@ -89,14 +81,8 @@
     def __init__(self, server: ConnectionServer) -> None:
         super().__init__()
         self._server = server
-        self._budget = server.budget
-        self.held = 0
-        self.received_at = 0.0
+        self.account = ConnectionAccount(self, server.budget)
         self.is_used = False
-        # Parts of what is held: of the request that is being received, and of unsent answers.
-        self._held_for_incoming = 0
-        self._held_for_unsent = 0
-        self._being_freed = 0
         self._parser = RequestParser(self)
         self._loop = asyncio.get_running_loop()
         self._queue: deque[ServerExchange] = deque()
@@ -139,10 +125,8 @@
         # Writing is paused while the caller leaves anything unread that the socket does not hold.
         self._transport.set_write_buffer_limits(high=0)
         self.peer = transport.get_extra_info("peername") or ("", 0)
-        self._budget.add(self)
-        if self._budget.hold(self, CONNECTION_BYTES) is Grant.REFUSED:
+        if self.account.open() is Grant.REFUSED:
             self.abort()
-        self.received_at = self._loop.time()
         self._server.connection_opened(self)
         # The timeout for the first head starts now, so a connection without data is closed.
         self._timer = self._loop.call_later(self._server.head_timeout, self._on_idle_timeout)
@@ -162,13 +146,12 @@
         if self._rejection is not None:
             self._discard(len(data))
             return
-        self.received_at = self._loop.time()
         self._uncounted += data
         self._count_received()
 
     def _count_received(self) -> None:
         """Count and parse what was received once the budget has bytes for it."""
-        grant = self._budget.hold(self, len(self._uncounted))
+        grant = self.account.receive(len(self._uncounted))
         if grant is Grant.REFUSED:
             self.release_memory()
         elif grant is Grant.GIVEN:
@@ -189,7 +172,7 @@
         """Return whether it holds a request that is not complete or waits, or an unsent answer."""
         if self._queue:
             return self._incoming is not None or len(self._queue) > 1 or self.has_unsent
-        return self._held_for_incoming > 0 or bool(self._unparsed) or self.has_unsent
+        return self.account.incoming > 0 or bool(self._unparsed) or self.has_unsent
 
     def release_memory(self) -> None:
         """Give up requests that are not complete or wait, and answers that are not taken.
@@ -198,49 +181,28 @@
         """
         if self.has_unsent:
             self._unsent.clear()
-            self._budget.give_back(self, self.held)
+            self.account.give_up_all()
             self.abort()
             return
         while len(self._queue) > 1:
-            self._give_back_request(self._queue.pop())
-        if self._queue and self._incoming is self._queue[0]:
-            # Its handler frees it when it learns of this.
-            self._being_freed += self._incoming.held + self._held_for_incoming
-            self._budget.give_back_later(self, self._being_freed)
-            self._incoming.held = self._held_for_incoming = 0
+            self.account.exchange_ended(self._queue.pop())
         self._drop_unparsed()
-        self._budget.give_back(self, self._held_for_incoming)
-        self._held_for_incoming = 0
+        # The handler of a request frees it when it learns of this.
+        is_handled = bool(self._queue) and self._incoming is self._queue[0]
+        self.account.give_up_incoming(self._incoming if is_handled else None)
         self._reject(ResultCode.NODE_MEMORY_FULL)
 
-    def _give_back_request(self, exchange: ServerExchange) -> None:
-        self._budget.give_back(self, exchange.held)
-        exchange.held = 0
-        self._budget.freed(self._being_freed)
-        self._being_freed = 0
-
-    @contextlib.contextmanager
-    def holding(self, size: int) -> Iterator[None]:
-        """Count an answer that is being sent."""
-        self._budget.hold_anyway(self, size)
-        try:
-            yield
-        finally:
-            self._budget.give_back(self, size)
-
     def write(self, *parts: bytes) -> None:
         """Send bytes, and count them until the caller has taken them."""
         super().write(*parts)
         if self.has_unsent:
-            size = sum(map(len, parts))
-            self._held_for_unsent += size
-            self._budget.hold_anyway(self, size)
+            self.account.write(sum(map(len, parts)))
 
     def _parse_unparsed(self) -> None:
         while self._unparsed and not self._is_reading_paused and self._rejection is None:
             size = len(self._unparsed) if self._incoming is not None else MAX_UNCHECKED_BYTES
             data, self._unparsed = self._unparsed[:size], self._unparsed[size:]
-            self._held_for_incoming += len(data)
+            self.account.parse(len(data))
             try:
                 self._parser.feed(data)
             except RequestError as error:
@@ -248,7 +210,7 @@
                 self._reject(error.code)
 
     def _drop_unparsed(self) -> None:
-        self._budget.give_back(self, len(self._unparsed))
+        self.account.drop(len(self._unparsed))
         self._unparsed = self._uncounted = b""
 
     def pause_body(self) -> None:
@@ -300,8 +262,7 @@
     def flushed(self) -> None:
         """Go on with the next request, as the caller has taken all answers."""
         super().flushed()
-        self._budget.give_back(self, self._held_for_unsent)
-        self._held_for_unsent = 0
+        self.account.flushed()
         if self._unsent_timer is not None:
             self._unsent_timer.cancel()
             self._unsent_timer = None
@@ -314,9 +275,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Notify the running handler that its caller has disconnected (asyncio callback)."""
         self.closed = True
-        self._budget.remove(self)
-        self._budget.freed(self._being_freed)
-        self._being_freed = 0
+        self.account.close()
         self._disarm_timer()
         if self._incoming is not None:
             self._incoming.body.fail(
@@ -355,8 +314,7 @@
                 exchange.send_continue()
         self._incoming = exchange
         self._queue.append(exchange)
-        self._budget.hold_anyway(self, REQUEST_BYTES + HEADER_BYTES * len(head.headers))
-        exchange.held = REQUEST_BYTES + HEADER_BYTES * len(head.headers)
+        self.account.head_completed(exchange)
         if len(self._queue) == 1 and not self._awaits_flush:
             self._start_next()
         self._update_reading()
@@ -369,18 +327,10 @@
     def request_completed(self) -> None:
         """Finish the request."""
         if self._incoming is not None:
-            self._move_held_bytes(self._incoming)
+            self.account.request_completed(self._incoming)
             self._incoming.body.finish()
             self._incoming = None
 
-    def _move_held_bytes(self, exchange: ServerExchange) -> None:
-        """Hold for an exchange what has been received for it."""
-        if exchange.ended:
-            self._budget.give_back(self, self._held_for_incoming)
-        else:
-            exchange.held += self._held_for_incoming
-        self._held_for_incoming = 0
-
     def close_if_idle(self) -> None:
         """Close the connection if no request is being received or served."""
         if not self.busy and self._transport is not None:
@@ -401,7 +351,7 @@
         if self._queue and self._queue[0] is exchange:
             self._queue.popleft()
         self.is_used = True
-        self._give_back_request(exchange)
+        self.account.exchange_ended(exchange)
         # A caller that was not sent 100 (Continue) ends its body unsent, see `ServerExchange`.
         body_open = not exchange.body.complete and not exchange.expects_continue
         if not keep or body_open or self._server.stopping:
--- a/src/hoisthook/adapter/http/server_exchange.py
+++ b/src/hoisthook/adapter/http/server_exchange.py
@@ -141,7 +141,7 @@
         headers.append((b"content-length", b"%d" % len(body)))
         self.write(b"", head=self.begin(status, headers, chunked=False))
         if self.head.method != b"HEAD":
-            with self._connection.holding(len(body)):
+            with self._connection.account.holding(len(body)):
                 await self._write_paced(body, pacer)
         self.end()
 
--- a/src/hoisthook/mesh/hop_server.py
+++ b/src/hoisthook/mesh/hop_server.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.byte_budget import MEMORY_RETRY_SECONDS
 from hoisthook.adapter.http.message import end_to_end
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import MemoryFullError
@@ -29,7 +30,6 @@
 
 _FRAMING = frozenset({b"content-length"})
 NO_RETRY_AFTER = 0.0
-MEMORY_RETRY_SECONDS = 0.5
 # Timeout for each piece of a request body. A stalled body occupies a slot; a lost packet is
 # retransmitted within this time.
 PIECE_SECONDS = 0.5
--- a/src/hoisthook/mesh/ingress.py
+++ b/src/hoisthook/mesh/ingress.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from hoisthook.adapter.http.byte_budget import MEMORY_RETRY_SECONDS
 from hoisthook.exceptions import BodyTooLargeError
 from hoisthook.exceptions import BrokenExchangeError
 from hoisthook.exceptions import MemoryFullError
@@ -62,8 +63,6 @@
 
 # A node usually receives its configuration within about a second of its start.
 NO_CONFIGURATION_RETRY_SECONDS = 0.3
-# Requests that hold the memory of a node complete or are given up within their time, some seconds.
-MEMORY_RETRY_SECONDS = 0.5
 # Largest request body that a node buffers if operators set no limit.
 DEFAULT_MAX_BODY_BYTES = 64 * 1024 * 1024
 
@@ -197,7 +196,7 @@
                 if over_quota is not None:
                     self._finish_unserved(exchange, accepted, over_quota)
                     return
-                body = await exchange.body.read_all(max_bytes=_max_body_bytes(configuration))
+                body = await _read_body(exchange, configuration)
                 call = self._make_call(exchange, accepted, body, deadline)
                 sent = True
                 dispatched = await self._dispatcher.dispatch(call)
@@ -348,6 +347,10 @@
         exchange.respond(refusal.status, refusal.headers, refusal.body)
 
 
-def _max_body_bytes(configuration: TrafficConfiguration) -> int:
+async def _read_body(exchange: ServerExchange, configuration: TrafficConfiguration) -> bytes:
     limits = configuration.limits
-    return DEFAULT_MAX_BODY_BYTES if limits is None else limits.max_body_bytes
+    max_bytes = DEFAULT_MAX_BODY_BYTES if limits is None else limits.max_body_bytes
+    announced = exchange.head.get(b"content-length") or b""
+    if announced.isdigit() and int(announced) > max_bytes:
+        raise BodyTooLargeError(f"announced body exceeds the limit of {max_bytes} bytes")
+    return await exchange.body.read_all(max_bytes=max_bytes)
