--- a/src/hoisthook/adapter/http/answer_check.py
+++ b/src/hoisthook/adapter/http/answer_check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from hoisthook.exceptions import MalformedAnswerError
@@ -14,6 +15,7 @@
 LAST_STATUS = 599
 VERSIONS = frozenset({"1.0", "1.1"})
 # Tab, space, visible characters and bytes over 127 (RFC 9112, section 4).
+_USUAL_REASONS = frozenset(status.phrase.encode() for status in HTTPStatus)
 _REASON = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
 
 
@@ -41,8 +43,11 @@
         raise MalformedAnswerError(f"status {status}")
     if version not in VERSIONS:
         raise MalformedAnswerError(f"version {version}")
-    if _REASON.fullmatch(reason) is None:
+    if reason not in _USUAL_REASONS and _REASON.fullmatch(reason) is None:
         raise MalformedAnswerError("control character in the reason phrase")
-    codings = [value for name, value in headers if name == b"transfer-encoding"]
-    if codings and (len(codings) > 1 or codings[0].strip().lower() != b"chunked"):
-        raise MalformedAnswerError("transfer coding other than chunked once")
+    is_chunked = False
+    for name, value in headers:
+        if name == b"transfer-encoding":
+            if is_chunked or value.strip().lower() != b"chunked":
+                raise MalformedAnswerError("transfer coding other than chunked once")
+            is_chunked = True
--- a/src/hoisthook/adapter/http/connection_account.py
+++ b/src/hoisthook/adapter/http/connection_account.py
@@ -55,10 +55,11 @@
     def __init__(self, owner: AccountOwner, budget: ByteBudget) -> None:
         self._owner = owner
         self._budget = budget
+        self._clock = asyncio.get_running_loop().time
         self._unsent = 0
         self._being_freed = 0
         self.held = 0
-        self.received_at = asyncio.get_running_loop().time()
+        self.received_at = self._clock()
         self.incoming = 0
 
     @property
@@ -82,7 +83,7 @@
 
     def receive(self, size: int) -> Grant:
         """Count bytes that have been received."""
-        self.received_at = asyncio.get_running_loop().time()
+        self.received_at = self._clock()
         return self._budget.hold(self, size)
 
     def drop(self, size: int) -> None:
@@ -110,7 +111,8 @@
         """Give back the bytes of a request."""
         self._budget.give_back(self, exchange.held)
         exchange.held = 0
-        self._finish_freeing()
+        if self._being_freed:
+            self._finish_freeing()
 
     def give_up_incoming(self, exchange: ServerExchange | None) -> None:
         """Give back an incomplete request, with an exchange when the handler has ended."""
--- a/src/hoisthook/adapter/http/flow_control.py
+++ b/src/hoisthook/adapter/http/flow_control.py
@@ -62,6 +62,9 @@
         """Send bytes as the transport has space, unless the connection is closed."""
         if self._transport is None or not self.is_open:
             return
+        if not self.has_unsent and sum(map(len, parts)) <= PIECE_BYTES:
+            self._transport.write(b"".join(parts))
+            return
         self._unsent.extend(memoryview(part) for part in parts if part)
         self._send_pieces()
 
