A head that the node has not read while others are served is not timed out

Callers that send many requests without waiting would get 408 for one whose head had arrived.

The time for a head starts anew while reading is paused. The new test fails without the change: the connection is closed before all requests are served.

--- a/src/hoisthook/adapter/http/server_connection.py
+++ b/src/hoisthook/adapter/http/server_connection.py
@@ -300,7 +300,7 @@
     def head_started(self) -> None:
         """Limit the time for the head."""
         self._disarm_timer()
-        self._timer = self._loop.call_later(self._server.head_timeout, self._on_head_timeout)
+        self._arm_head_timer()
 
     def head_completed(
         self, head: RequestHead, *, keep_alive: bool, expects_continue: bool
@@ -417,6 +417,9 @@
         self.write(self._server.bad_request(code))
         self._close_when_flushed()
 
+    def _arm_head_timer(self) -> None:
+        self._timer = self._loop.call_later(self._server.head_timeout, self._on_head_timeout)
+
     def _arm_idle_timer(self) -> None:
         self._timer = self._loop.call_later(self._server.idle_timeout, self._on_idle_timeout)
 
@@ -426,6 +429,10 @@
             self._timer = None
 
     def _on_head_timeout(self) -> None:
+        if self._is_reading_paused:
+            # The rest of the head may have arrived and not been read.
+            self._arm_head_timer()
+            return
         self._timer = None
         if not self.busy:
             self._reject(ResultCode.REQUEST_TIMEOUT)
--- a/tests/adapter/http/test_unread_answers.py
+++ b/tests/adapter/http/test_unread_answers.py
@@ -104,3 +104,30 @@
     assert MAX_PIPELINED < len(connection._queue) < 200
     caller.close()
     server.abort()
+
+
+async def test_head_that_is_not_read_while_others_are_served_is_not_timed_out() -> None:
+    """Guards against a pipelined request that is refused because the node has not read it."""
+    may_answer = asyncio.Event()
+    served: list[bytes] = []
+
+    async def wait(exchange: ServerExchange) -> None:
+        served.append(exchange.head.target)
+        await may_answer.wait()
+        exchange.respond(200, [])
+
+    server = CallServer(("127.0.0.1", 0), wait, head_timeout=0.05)
+    await server.start()
+    # A target's length is none of the pieces that are parsed at a time, so one ends within a head.
+    targets = [b"/" + b"%0999d" % number for number in range(4 * MAX_PIPELINED)]
+    requests = b"".join(REQUEST.replace(b"/", target, 1) for target in targets)
+    caller = await connect(server, requests)
+    await until(lambda: bool(served))
+    (connection,) = server._connections
+    await until(lambda: connection._is_reading_paused)
+    await asyncio.sleep(4 * server.head_timeout)
+    may_answer.set()
+    await until(lambda: len(served) == len(targets))
+    assert served == targets
+    caller.close()
+    server.abort()
