--- a/src/hoisthook/adapter/http/call_server.py
+++ b/src/hoisthook/adapter/http/call_server.py
@@ -6,6 +6,7 @@
 import sys
 from typing import TYPE_CHECKING
 
+from hoisthook.adapter.http.byte_budget import MEMORY_RETRY_SECONDS
 from hoisthook.adapter.http.byte_budget import ByteBudget
 from hoisthook.adapter.http.message import encode_answer_head
 from hoisthook.adapter.http.server_connection import ServerConnection
@@ -21,8 +22,7 @@
 # Longer than `ClientPool` keeps an idle connection, so that the client closes it first.
 IDLE_TIMEOUT_SECONDS = 60.0
 MAX_HEAD_BYTES = 32 * 1024
-# Bytes of a connection that are processed in one iteration of the event loop; the parser takes up
-# to 0.1 us for each.
+# Bytes of a connection that are processed in one iteration of the event loop.
 RECEIVE_BUFFER_BYTES = 16 * 1024
 IDLE_CLOSE_DELAY_SECONDS = 0.3
 MAX_CONNECTIONS = 4096
@@ -185,6 +185,8 @@
             (b"content-length", b"0"),
             (b"connection", b"close"),
         ]
+        if code is ResultCode.NODE_MEMORY_FULL:
+            headers.append((b"retry-after", b"%.1f" % MEMORY_RETRY_SECONDS))
         return encode_answer_head(entry.http_status, headers)
 
 
--- a/src/hoisthook/mesh/mesh_node.py
+++ b/src/hoisthook/mesh/mesh_node.py
@@ -72,8 +72,7 @@
 PEER_IDLE_SECONDS = 30.0
 HOUSEKEEPING_SECONDS = 2.0
 # Share of the memory for what callers, backend server, store and other nodes send and has not been
-# sent on. A node without load takes 34 MB, and an allocator needs more than is in use. On the
-# smallest machines, with 200 MB, the largest body fits once.
+# sent on. The rest is for the process itself and what the allocator takes beyond that.
 RECEIVED_MEMORY_SHARE = 0.4
 BYTES_PER_MB = 1_000_000
 # Pause before a failed background task is restarted.
--- a/tests/adapter/http/test_byte_budget.py
+++ b/tests/adapter/http/test_byte_budget.py
@@ -147,3 +147,23 @@
     assert budget._being_freed == 0
     assert refused <= clients
     server.abort()
+
+
+async def test_incomplete_head_that_is_given_up_is_told_when_to_come_back() -> None:
+    async def handle(exchange: ServerExchange) -> None:
+        exchange.respond(200, [])
+
+    budget = ByteBudget(MIB)
+    server = CallServer(("127.0.0.1", 0), handle, budget=budget)
+    await server.start()
+    reader, writer = await asyncio.open_connection(*server.address)
+    writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n")
+    await until(lambda: any(c.account.incoming for c in server._connections))
+    StoredRequest(budget, MIB, complete=True)
+    StoredRequest(budget, FREE_BYTES)
+    answer = await asyncio.wait_for(reader.read(), 10.0)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"hoisthook-ran: not-run" in answer
+    assert b"retry-after: 0.5" in answer
+    writer.close()
+    server.abort()
