--- a/tests/mesh/test_buffered_exchange.py
+++ b/tests/mesh/test_buffered_exchange.py
@@ -68,3 +68,23 @@
     """Its time is the caller's, whatever has used it up."""
     answer = await exchange(answers=True, stall=STALL_SECONDS, piece_timeout=None)
     assert answer == Lost(ResultCode.DEADLINE_DURING_RUN)
+
+
+@pytest.mark.parametrize(
+    "status_line",
+    [b"HTTP/1.1 000 OK", b"HTTP/1.1 600 OK", b"HTTP/0.9 200 OK", b"HTTP/1.1 200 \x01"],
+)
+async def test_malformed_head_is_no_answer_for_any_reader(status_line: bytes) -> None:
+    """Guards against a health check, store or other node whose bytes are taken for an answer."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(status_line + b"\r\ncontent-length: 2\r\n\r\nok")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    connection = await ClientPool().open(server.sockets[0].getsockname()[:2], TIMEOUT_SECONDS)
+    outcome = await exchange_buffered(connection, b"GET", b"/", [], b"", timeout=TIMEOUT_SECONDS)
+    assert isinstance(outcome, Lost)
+    assert outcome.code is ResultCode.ANSWER_SPOILED
+    assert connection.closed
+    server.close()
